--- a/catkinhook/attempts.py
+++ b/catkinhook/attempts.py
@@ -7,7 +7,7 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import urllib3
@@ -22,6 +22,8 @@
 STEP = "attempts"
 MAX_IDLE_PER_ADDRESS = 64
 MAX_IDLE_S = 20.0
+# Bytes that stay unacknowledged for this long end a connection whose peer fell silent.
+USER_TIMEOUT_MS = 2000
 LAST_CHUNK_TIMEOUT_S = 0.02
 MAX_REPORT_BYTES = 4 * MIB
 READ_BYTES = 64 << 10
@@ -76,9 +78,18 @@
 
     def __init__(self, address: str, connect_timeout: float) -> None:
         host, port = split_address(address)
-        super().__init__(host, port, timeout=connect_timeout)
+        super().__init__(
+            host,
+            port,
+            timeout=connect_timeout,
+            socket_options=[
+                *HTTPConnection.default_socket_options,
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+            ],
+        )
         self.bytes_sent = 0
         self.idle_since = 0.0
+        self.idle_limit = MAX_IDLE_S
         self._held: list[bytes] | None = None
         self.raw: http.client.HTTPResponse | None = None
         self.response_class = self._make_response
@@ -100,6 +111,27 @@
         finally:
             self._held = None
 
+    def send_raw(
+        self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> http.client.HTTPResponse:
+        """Send exactly these headers and read the head of the answer.
+
+        ``request`` would add headers of its own, and joins those that have the same name.
+
+        :param target: path and query as they came, which are not normalised.
+        """
+        self._held = []
+        try:
+            self.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
+            for name, value in headers:
+                self.putheader(name, value)
+            self.endheaders()
+            held, self._held = b"".join(self._held), None
+            self.send(held + body)
+        finally:
+            self._held = None
+        return http.client.HTTPConnection.getresponse(self)
+
     def send(self, data: bytes) -> None:
         """Send all bytes; ``sendall`` would not tell how many left before a failure."""
         if self._held is not None:
@@ -113,6 +145,13 @@
             self.bytes_sent += sent
             view = view[sent:]
 
+    def shut_down(self) -> None:
+        """Break the connection from another thread, so that a blocked read returns."""
+        sock = self.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def set_gap_timeout(self, seconds: float) -> None:
         """Bound each read in the kernel; with a timeout of Python's each read is two calls."""
         whole = int(seconds)
@@ -173,14 +212,15 @@
             connection.close()
 
     def _take_idle(self, address: str) -> CountingConnection | None:
-        oldest = time.monotonic() - MAX_IDLE_S
+        now = time.monotonic()
         while True:
             with self._lock:
                 idle = self._idle_by_address.get(address)
                 if not idle:
                     return None
                 connection = idle.pop()
-            if connection.idle_since >= oldest and connection.is_connected:
+            is_recent = now - connection.idle_since <= connection.idle_limit
+            if is_recent and connection.is_connected:
                 return connection
             connection.close()
 
@@ -348,10 +388,9 @@
     def abort(self) -> None:
         """Break the connection from another thread, so that a blocked read returns."""
         self.aborted = True
-        sock = getattr(self._connection, "sock", None)
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+        connection = self._connection
+        if connection is not None:
+            connection.shut_down()
 
     def close(self) -> None:
         """Close the connection, so that nothing that still arrives on it is read."""
--- a/catkinhook/cli.py
+++ b/catkinhook/cli.py
@@ -74,6 +74,31 @@
     return run_controller(connect_controller(checked))
 
 
+@app.command
+def host(settings: Annotated[Path | None, Parameter(name="--settings")] = None) -> int:
+    """Run a host, which serves callers and orders models, until SIGTERM.
+
+    Example: catkinhook host --settings local.conf
+
+    :param settings: settings file of the platform; by default the one that the platform names.
+    """
+    from catkinhook.host import run_host
+    from catkinhook.platform.assembly import make_platform
+    from catkinhook.platform.boot import find_settings_file, read_boot_file
+
+    path = settings or find_settings_file()
+    if path is None:
+        print("no settings file is named", file=sys.stderr)
+        return EXIT_INVALID
+    result = read_boot_file(path)
+    if result.is_err():
+        commands.print_faults(result.unwrap_err())
+        return EXIT_INVALID
+    checked = result.unwrap()
+    configure_logs("WARNING", checked.node, "host")
+    return run_host(checked, make_platform(checked), lambda: read_boot_file(path))
+
+
 @app.command
 def dev(*, port: int = 8080, admin_port: int = 7180) -> int:
     """Run a gateway, a controller and emulators in one process on loopback.
--- /dev/null
+++ b/catkinhook/forwarding.py
@@ -0,0 +1,535 @@
+"""A request of a host from its arrival to the end of its answer."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+import attrs
+
+from catkinhook.attempts import AttemptError
+from catkinhook.decisionlog import DecisionLog
+from catkinhook.errors import Ran, Refusal
+from catkinhook.events import EventError, EventOrder, EventSplitter, RawEvent
+from catkinhook.hostmetrics import HostMetrics
+from catkinhook.inflight import Outcome
+from catkinhook.routes import Repeat
+from catkinhook.scheduling import Scheduler, Ticket
+from catkinhook.stateactor import Owned
+from catkinhook.watch import CallerWatch
+from catkinhook.work import Decision, Placed, Work
+
+STEP = "forwarding"
+# Attempts of one request, those included that an endpoint refused without running them.
+MAX_SENDS = 6
+# Silence of an endpoint after which a stream that may go on elsewhere does so: a time, or a
+# multiple of the pause that the route allows.
+SILENCE_S = 1.0
+SILENCE_GAPS = 4.0
+# Silence before the first event, as a multiple of the objective.
+FIRST_SILENCE_OBJECTIVES = 2.0
+# Part of the time left that one attempt may take when another one could follow.
+ATTEMPT_SHARE = 0.6
+# Time that an answer needs to reach its caller before the deadline.
+ANSWER_MARGIN_S = 0.02
+MIN_TIME_S = 0.03
+
+
+class UpstreamAnswer(Protocol):
+    """An endpoint's answer, read by one thread.
+
+    :ivar status: HTTP status.
+    :ivar headers: headers for the caller.
+    :ivar load: running and waiting requests of the endpoint, None when it did not tell.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    load: tuple[int, int] | None
+
+    def read(self, timeout_s: float) -> bytes:
+        """Return the next bytes, empty at the marked end.
+
+        :raises AttemptError: if it broke off, or nothing came in time.
+        """
+
+    def finish(self) -> None:
+        """Keep the connection for other requests if the answer was read to its end."""
+
+    def close(self) -> None:
+        """Close the connection, which stops the work of the endpoint."""
+
+    def abort(self) -> None:
+        """Break the connection from another thread, so that a blocked read returns."""
+
+
+class Upstream(Protocol):
+    """Sends one request to chosen endpoints."""
+
+    def open(
+        self, placed: Placed, time_left_s: float, timeout_s: float, last_event: int | None
+    ) -> UpstreamAnswer:
+        """Send the request and read the head of the answer.
+
+        :param time_left_s: time that the endpoint is given.
+        :param timeout_s: time after which the head counts as not coming.
+        :param last_event: number of the last event that the caller has, None for none.
+        :raises AttemptError: if no answer of this attempt came.
+        """
+
+    def abort(self) -> None:
+        """Break off an ``open`` from another thread."""
+
+
+@attrs.frozen(kw_only=True)
+class Reply:
+    """What goes back to the caller.
+
+    :ivar body: chunks; an iterator that raises breaks the connection off.
+    :ivar length: bytes of the body, None for a stream.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: Iterator[bytes]
+    length: int | None = None
+
+
+class CallerLeftError(ConnectionAbortedError):
+    """The caller closed its connection."""
+
+
+class Forwarder:
+    """Runs requests of callers, each in its own thread."""
+
+    def __init__(
+        self,
+        scheduler: Owned[Scheduler],
+        watch: CallerWatch,
+        metrics: HostMetrics,
+        log: DecisionLog,
+        on_waiting: Callable[[], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._watch = watch
+        self._metrics = metrics
+        self._log = log
+        self._on_waiting = on_waiting
+
+    def run(
+        self,
+        work: Work,
+        upstream: Upstream,
+        has_left: Callable[[], bool] | None,
+        last_event: int | None = None,
+    ) -> Reply | Refusal:
+        """Run a request to its answer, or a stream to its first event.
+
+        :param last_event: number of the last event that the caller already has.
+        :raises CallerLeftError: if the caller left.
+        """
+        job = _Job(self, work, upstream, has_left, last_event)
+        return job.run()
+
+    # Used by jobs.
+
+    def place(self, job: "_Job") -> Decision | None:
+        """Wait for an endpoint; None when the request may not be repeated."""
+        decided = threading.Event()
+        box: list[Decision] = []
+
+        def decide(decision: Decision) -> None:
+            box.append(decision)
+            decided.set()
+
+        work, now = job.work, time.monotonic()
+
+        def submit(scheduler: Scheduler) -> Ticket | None:
+            if job.sends == 0:
+                return scheduler.submit(work, decide, now)
+            return scheduler.submit_again(work, job.tried, job.ran, decide, now)
+
+        ticket = self._scheduler.ask(submit)
+        if ticket is None:
+            return None
+        if not decided.is_set():
+            self._on_waiting()
+            self._watch.add(job.key, job.has_left, job.leave)
+            job.on_left = decided.set
+            left_s = max(0.0, work.gives_up_at() - time.monotonic())
+            decided.wait(left_s + 1.0)
+            self._watch.remove(job.key)
+            job.on_left = None
+        if not box:
+            self._scheduler.ask(lambda scheduler: scheduler.withdraw(ticket))
+        if not box:
+            reason = "no endpoint was free in time"
+            status = 503 if job.ran is Ran.NO else 504
+            return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
+        return box[0]
+
+    def finish(self, placed: Placed, outcome: Outcome, is_absent: bool = False) -> None:
+        """End an attempt."""
+        now = time.monotonic()
+        self._scheduler.tell(lambda s: s.finish(placed.attempt, outcome, now, is_absent))
+
+    def note_first(self, placed: Placed, load: tuple[int, int] | None) -> None:
+        """Record the first bytes of an answer."""
+        now = time.monotonic()
+
+        def change(scheduler: Scheduler) -> None:
+            scheduler.note_first(placed.attempt, now)
+            if load is not None:
+                scheduler.note_load(placed.endpoint.endpoint, load[0], load[1], now)
+
+        self._scheduler.tell(change)
+
+    def watch_caller(self, job: "_Job") -> None:
+        """Break the request off when its caller leaves."""
+        if job.has_left is not None:
+            self._watch.add(job.key, job.has_left, job.leave)
+
+    def unwatch(self, job: "_Job") -> None:
+        """Stop watching the caller."""
+        self._watch.remove(job.key)
+
+    def record(self, job: "_Job", outcome: str, status: int, reason: str = "") -> None:
+        """Log and count the end of a request."""
+        work, now = job.work, time.monotonic()
+        route = work.route
+        self._metrics.requests.labels(work.service, route.name, str(status)).inc()
+        self._metrics.duration.labels(work.service, route.name).observe(now - work.arrived)
+        if job.first_at is not None:
+            first = job.first_at - work.arrived
+            self._metrics.first_event.labels(work.service, route.name).observe(first)
+        line: dict[str, object] = {
+            "id": work.request_id,
+            "status": status,
+            "route": route.name,
+            "service": work.service,
+            "item": work.item,
+            "repeat": route.repeat.value,
+            "endpoints": job.endpoints,
+            "ran": job.ran.value,
+            "waited_s": round(job.waited_s, 3),
+            "total_s": round(now - work.arrived, 3),
+            "configuration": work.configuration,
+        }
+        if job.first_at is not None:
+            line["first_s"] = round(job.first_at - work.arrived, 3)
+        if job.order.last:
+            line["events"] = job.order.last
+        if reason:
+            line["reason"] = reason
+        self._log.record("request", outcome=outcome, **line)
+
+    def record_attempt(self, job: "_Job", placed: Placed, error: AttemptError) -> None:
+        """Log and count an attempt that failed."""
+        self._metrics.attempts.labels(job.work.service, error.outcome.value).inc()
+        self._log.record(
+            "attempt",
+            outcome=error.outcome.value,
+            id=job.work.request_id,
+            endpoint=placed.endpoint.endpoint,
+            address=placed.endpoint.address,
+            sequence=placed.endpoint.sequence,
+            ran=error.ran.value,
+            status=error.status,
+            reason=error.reason,
+            number=job.sends,
+        )
+
+
+class _Job:
+    """One request; used by its thread, except for ``leave``."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        work: Work,
+        upstream: Upstream,
+        has_left: Callable[[], bool] | None,
+        last_event: int | None,
+    ) -> None:
+        self._forwarder = forwarder
+        self.work = work
+        self._upstream = upstream
+        self.has_left = has_left
+        self.key = f"{work.request_id}/{id(self)}"
+        self.tried: frozenset[str] = frozenset()
+        self.endpoints: list[str] = []
+        self.sends = 0
+        self.runs = 0
+        self.ran = Ran.NO
+        self.waited_s = 0.0
+        self.first_at: float | None = None
+        self.order = EventOrder(last_event or 0)
+        self._resumes = last_event is not None
+        self._answer: UpstreamAnswer | None = None
+        self._is_gone = False
+        self.on_left: Callable[[], None] | None = None
+
+    def leave(self) -> None:
+        """Break off what is in progress, because the caller left."""
+        self._is_gone = True
+        on_left = self.on_left
+        if on_left is not None:
+            on_left()
+        self._upstream.abort()
+        answer = self._answer
+        if answer is not None:
+            answer.abort()
+
+    def run(self) -> Reply | Refusal:
+        """Run the request."""
+        try:
+            result = self._try_endpoints()
+        except CallerLeftError:
+            self._forwarder.record(self, "caller left", 499)
+            raise
+        finally:
+            if self._answer is None:
+                self._forwarder.unwatch(self)
+        if isinstance(result, Refusal):
+            self._forwarder.unwatch(self)
+            self._forwarder.record(self, f"refused: {result.code}", result.status, result.reason)
+        return result
+
+    def _try_endpoints(self) -> Reply | Refusal:
+        failed: AttemptError | None = None
+        while True:
+            placed = self._place(failed)
+            if isinstance(placed, Refusal):
+                return placed
+            try:
+                return self._try_once(placed)
+            except AttemptError as error:
+                self._end_failed(placed, error)
+                failed = error
+            if not self._may_try_again(failed):
+                return self._explain(failed, "not repeated")
+
+    def _place(self, failed: AttemptError | None) -> Placed | Refusal:
+        started = time.monotonic()
+        decision = self._forwarder.place(self)
+        self.waited_s += time.monotonic() - started
+        if self._is_gone:
+            if isinstance(decision, Placed):
+                self._forwarder.finish(decision, Outcome.CANCELLED)
+            raise CallerLeftError("the caller left")
+        if decision is None:
+            return self._explain(failed, "the retry budget is used up")
+        if isinstance(decision, Refusal) and failed is not None:
+            reason = f"{failed.reason}; then {decision.reason}"
+            return attrs.evolve(decision, reason=reason, ran=self.ran)
+        return decision
+
+    def _try_once(self, placed: Placed) -> Reply:
+        work = self.work
+        self.sends += 1
+        self.tried |= {placed.endpoint.endpoint}
+        self.endpoints.append(placed.endpoint.endpoint)
+        left = work.deadline - time.monotonic() - ANSWER_MARGIN_S
+        if left < MIN_TIME_S:
+            reason = "the time is up"
+            raise AttemptError(STEP, "", reason, Ran.NO, outcome=Outcome.CANCELLED, fault="late")
+        self._forwarder.watch_caller(self)
+        last = self.order.last if self._resumes or self.order.last else None
+        if self.order.last:
+            self.order.resume()
+        answer = self._upstream.open(placed, left, self._head_timeout(left), last)
+        self._answer = answer
+        try:
+            if work.route.is_stream and answer.status == 200:
+                return self._begin_stream(placed, answer)
+            return self._read_whole(placed, answer)
+        except AttemptError:
+            answer.close()
+            raise
+
+    def _head_timeout(self, left: float) -> float:
+        route = self.work.route
+        if not self._may_repeat():
+            return left
+        if route.is_stream:
+            return min(left, max(SILENCE_S, FIRST_SILENCE_OBJECTIVES * route.objective_s))
+        return max(MIN_TIME_S, left * ATTEMPT_SHARE)
+
+    def _silence(self) -> float:
+        route = self.work.route
+        left = max(MIN_TIME_S, self.work.deadline - time.monotonic())
+        if not self._may_repeat():
+            return left
+        if self.first_at is None:
+            return self._head_timeout(left)
+        return min(left, max(SILENCE_S, SILENCE_GAPS * route.gap_s))
+
+    def _may_repeat(self) -> bool:
+        return self.work.is_repeatable and self.runs + 1 < self.work.route.max_attempts
+
+    def _read_whole(self, placed: Placed, answer: UpstreamAnswer) -> Reply:
+        parts = []
+        while part := answer.read(self._silence()):
+            parts.append(part)
+        body = b"".join(parts)
+        self.first_at = time.monotonic()
+        is_failure = answer.status >= 500
+        if is_failure and self.work.route.repeat is Repeat.ALWAYS and self._may_repeat():
+            answer.finish()
+            raise AttemptError(
+                STEP,
+                placed.endpoint.endpoint,
+                f"endpoint answered {answer.status}",
+                Ran.YES,
+                answer.status,
+                Outcome.FAILED,
+            )
+        self._forwarder.note_first(placed, answer.load)
+        answer.finish()
+        self._answer = None
+        self._forwarder.unwatch(self)
+        outcome = Outcome.FAILED if is_failure else Outcome.COMPLETED
+        self._forwarder.finish(placed, outcome)
+        self.ran = Ran.YES
+        self._forwarder.record(self, "answered", answer.status)
+        return Reply(
+            status=answer.status, headers=answer.headers, body=iter((body,)), length=len(body)
+        )
+
+    def _begin_stream(self, placed: Placed, answer: UpstreamAnswer) -> Reply:
+        chunks = self._read_events(placed, answer)
+        first = next(chunks, b"")
+        body = self._pass_on(placed, answer, first, chunks)
+        return Reply(status=answer.status, headers=answer.headers, body=body)
+
+    def _read_events(self, placed: Placed, answer: UpstreamAnswer) -> Iterator[bytes]:
+        """Yield whole events of one attempt as they come."""
+        splitter = EventSplitter()
+        try:
+            while data := answer.read(self._silence()):
+                events = splitter.feed(data)
+                if not events:
+                    continue
+                if self.first_at is None:
+                    self.first_at = time.monotonic()
+                chunk, error = self._accept(events)
+                if answer.load is not None or not self.runs:
+                    self._forwarder.note_first(placed, answer.load)
+                    answer.load = None
+                if chunk:
+                    yield chunk
+                if error is not None:
+                    raise error
+            if splitter.pending:
+                raise EventError("the stream ended within an event")
+        except EventError as error:
+            raise AttemptError(
+                STEP, placed.endpoint.endpoint, str(error), Ran.UNKNOWN, fault="sequence"
+            ) from error
+
+    def _accept(self, events: list[RawEvent]) -> tuple[bytes, EventError | None]:
+        accepted = []
+        for event in events:
+            try:
+                self.order.accept(event)
+            except EventError as error:
+                return b"".join(accepted), error
+            accepted.append(event.raw)
+        return b"".join(accepted), None
+
+    def _pass_on(
+        self, placed: Placed, answer: UpstreamAnswer, first: bytes, chunks: Iterator[bytes]
+    ) -> Iterator[bytes]:
+        """Yield the events of a stream, which goes on at other endpoints when one breaks off."""
+        outcome, reason = "caller left", ""
+        try:
+            if first:
+                yield first
+            while True:
+                try:
+                    yield from chunks
+                    break
+                except AttemptError as error:
+                    answer.close()
+                    self._answer = None
+                    if self._is_gone:
+                        raise CallerLeftError("the caller left") from error
+                    self._end_failed(placed, error)
+                    again = self._go_on(error)
+                    if isinstance(again, str):
+                        outcome, reason = "broken off", f"{error.reason}; {again}"
+                        raise ConnectionAbortedError(reason) from error
+                    placed, answer, chunks = again
+            outcome = "answered"
+            self.ran = Ran.YES
+            answer.finish()
+            self._forwarder.finish(placed, Outcome.COMPLETED)
+            placed = None
+        finally:
+            self._forwarder.unwatch(self)
+            if placed is not None and outcome != "broken off":
+                answer.close()
+                self._forwarder.finish(placed, Outcome.CANCELLED)
+            self._forwarder.record(self, outcome, 200, reason)
+
+    def _go_on(self, error: AttemptError) -> tuple[Placed, UpstreamAnswer, Iterator[bytes]] | str:
+        """Go on with a stream at another endpoint, or tell why that isn't possible."""
+        while True:
+            if self.work.route.repeat is not Repeat.RESUME or not self._may_try_again(error):
+                return "it can't go on elsewhere"
+            placed = self._place(error)
+            if isinstance(placed, Refusal):
+                return placed.reason
+            try:
+                reply = self._resume(placed)
+            except AttemptError as again:
+                self._end_failed(placed, again)
+                error = again
+                continue
+            return placed, self._answer, reply
+
+    def _resume(self, placed: Placed) -> Iterator[bytes]:
+        self.sends += 1
+        self.tried |= {placed.endpoint.endpoint}
+        self.endpoints.append(placed.endpoint.endpoint)
+        left = self.work.deadline - time.monotonic() - ANSWER_MARGIN_S
+        if left < MIN_TIME_S:
+            raise AttemptError(STEP, "", "the time is up", Ran.NO, outcome=Outcome.CANCELLED)
+        if self.order.last:
+            self.order.resume()
+        last = self.order.last if self._resumes or self.order.last else None
+        self._forwarder.watch_caller(self)
+        answer = self._upstream.open(placed, left, self._head_timeout(left), last)
+        self._answer = answer
+        if answer.status != 200:
+            answer.close()
+            reason = f"endpoint answered {answer.status} to a resume"
+            raise AttemptError(STEP, placed.endpoint.endpoint, reason, status=answer.status)
+        return self._read_events(placed, answer)
+
+    def _end_failed(self, placed: Placed, error: AttemptError) -> None:
+        self._answer = None
+        if self._is_gone:
+            self._forwarder.finish(placed, Outcome.CANCELLED)
+            raise CallerLeftError("the caller left") from error
+        if error.ran is not Ran.NO:
+            self.ran = Ran.UNKNOWN
+            self.runs += 1
+        self._forwarder.record_attempt(self, placed, error)
+        self._forwarder.finish(placed, error.outcome, error.fault == "absent")
+
+    def _may_try_again(self, error: AttemptError) -> bool:
+        if error.outcome is Outcome.CANCELLED or self.sends >= MAX_SENDS:
+            return False
+        if time.monotonic() + MIN_TIME_S >= self.work.deadline:
+            return False
+        if error.ran is Ran.NO:
+            return True
+        return self.work.is_repeatable and self.runs < self.work.route.max_attempts
+
+    def _explain(self, error: AttemptError, why: str) -> Refusal:
+        is_over = time.monotonic() + MIN_TIME_S >= self.work.deadline
+        status = 503 if self.ran is Ran.NO else 504 if is_over else 502
+        reason = f"{error.reason}; {why}"
+        code = "late" if is_over else "endpoint-failed"
+        return Refusal(error.step, error.peer, reason, code, status, self.ran, 0.5)
--- a/catkinhook/gateway.py
+++ b/catkinhook/gateway.py
@@ -10,10 +10,6 @@
 from typing import Protocol
 
 import attrs
-from waitress import wasyncore
-from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer
-from waitress.task import ErrorTask, WSGITask
 
 from catkinhook.actors import Dispatch
 from catkinhook.adapters import AdapterLoader
@@ -25,8 +21,8 @@
 from catkinhook.deferred import Deferred
 from catkinhook.deferring import Deferring
 from catkinhook.dispatch import Dispatcher
-from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.kernel import Kernel, Service
+from catkinhook.listening import Server
 from catkinhook.metrics import GatewayMetrics, PromiseCollector
 from catkinhook.objects import HttpObjects
 from catkinhook.pump import Pump
@@ -38,7 +34,7 @@
 from catkinhook.tables import HttpTable
 from catkinhook.views import Snapshot
 from catkinhook.watch import CallerWatch
-from catkinhook.web import IS_BEHIND, Application, Slots, State
+from catkinhook.web import Application, Slots, State
 
 _log = logging.getLogger(__name__)
 
@@ -47,8 +43,6 @@
 CONNECTIONS_PER_REQUEST = 4
 SPARE_CONNECTIONS = 64
 OUTPUT_HIGH_WATERMARK = 256 * KIB
-# A stream whose caller has not taken this much leaves the thread that all streams share.
-OUTPUT_BEHIND = 64 * KIB
 CLEANUP_INTERVAL_S = 5
 DRAIN_CHECK_S = 0.02
 # Requests on connections that were accepted last are still read and served for this long.
@@ -124,87 +118,6 @@
         self._state.snapshot = snapshot
 
 
-class Task(WSGITask):
-    """Request whose environment tells whether its caller is behind."""
-
-    def get_environment(self) -> dict:
-        """Return the WSGI environment."""
-        environ = super().get_environment()
-        environ[IS_BEHIND] = self._is_behind
-        return environ
-
-    def _is_behind(self) -> bool:
-        return self.channel.total_outbufs_len > OUTPUT_BEHIND
-
-
-class ProblemTask(ErrorTask):
-    """Answers requests that waitress itself refuses, such as an oversized body."""
-
-    def execute(self) -> None:
-        """Write a problem document in place of plain text."""
-        error = self.request.error
-        code = error.reason.lower().replace(" ", "-")
-        body = render_problem(Refusal("http", "", error.body, code, error.code, Ran.NO))
-        self.status = f"{error.code} {error.reason}"
-        self.response_headers.append(("Content-Type", PROBLEM_CONTENT_TYPE))
-        self.set_close_on_finish()
-        self.content_length = len(body)
-        self.write(body)
-
-
-class Channel(HTTPChannel):
-    """waitress's connection with problem documents for its own refusals."""
-
-    task_class = Task
-    error_task_class = ProblemTask
-
-
-class Server(TcpWSGIServer):
-    """waitress that also drops callers that stopped reading, and can stop only its listener."""
-
-    channel_class = Channel
-
-    def maintenance(self, now: float) -> None:
-        """Close idle channels and those whose output has not moved for ``channel_timeout``."""
-        super().maintenance(now)
-        cutoff = now - self.adj.channel_timeout
-        for channel in self.active_channels.values():
-            if channel.total_outbufs_len and channel.last_activity < cutoff:
-                channel.will_close = True
-
-    def stop_accepting(self) -> None:
-        """Take what waits in the backlog and close the listening socket; open channels go on."""
-        self.trigger.pull_trigger(self._close_listener)
-
-    def close_idle(self) -> None:
-        """Close kept connections on which no request has begun."""
-        self.trigger.pull_trigger(self._mark_idle)
-
-    def shut_down(self) -> None:
-        """Close all channels and end the loop and its threads."""
-        self.trigger.pull_trigger(lambda: wasyncore.close_all(self._map))
-        self.task_dispatcher.shutdown(timeout=1)
-
-    def _mark_idle(self) -> None:
-        for channel in self.active_channels.values():
-            if not (channel.requests or channel.request or channel.total_outbufs_len):
-                channel.will_close = True
-
-    def _close_listener(self) -> None:
-        # Closing the socket resets connections of the backlog, whose requests are on their way.
-        for _ in range(self.adj.backlog):
-            known = len(self.active_channels)
-            self.handle_accept()
-            if len(self.active_channels) == known:
-                break
-        wasyncore.dispatcher.close(self)
-
-    def is_flushed(self) -> bool:
-        """Return whether all output has been handed to the network."""
-        channels = list(self.active_channels.values())
-        return not any(channel.total_outbufs_len or channel.requests for channel in channels)
-
-
 class Listener:
     """Service that runs waitress in a thread, and at its close lets streams finish.
 
--- /dev/null
+++ b/catkinhook/holderlink.py
@@ -0,0 +1,295 @@
+"""Service that exchanges reports and views with the holder of the order lease."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+
+from catkinhook.clocks import Clock
+from catkinhook.decisionlog import DecisionLog
+from catkinhook.errors import StepError
+from catkinhook.holding import Holder
+from catkinhook.hostmessages import (
+    MAX_SUSPECTS,
+    HolderView,
+    HostReport,
+    decode_report,
+    decode_view,
+    encode_report,
+    encode_view,
+)
+from catkinhook.leasekeeper import LeaseKeeper
+from catkinhook.peers import PeerPool
+from catkinhook.provisioning import Demand
+from catkinhook.scheduling import Scheduler
+from catkinhook.stateactor import Owned
+from catkinhook.suspects import SuspectEvent
+from catkinhook.thrift_hosts import ttypes
+from catkinhook.views import EndpointView
+from catkinhook.wire import make_refused
+
+# Seconds between exchanges, and while requests wait for an item that is on its way.
+EXCHANGE_S = 0.2
+HURRY_S = 0.02
+# The holder counts as heard for this long after an answer.
+HEARD_S = 1.0
+# What the holder said of engines is used for this long.
+VIEW_LIFE_S = 3.0
+# A host without a view counts the hosts that it saw last.
+MIN_HOSTS = 1
+
+
+def overlay(
+    endpoint_by_id: dict[str, EndpointView], view: HolderView | None
+) -> dict[str, EndpointView]:
+    """Return the endpoints with what the holder knows of their models and adapters.
+
+    An entry in the store tells nothing new after an adapter was loaded, so the holder's word goes
+    first until the entry shows orders that the holder has not seen.
+    """
+    if view is None:
+        return endpoint_by_id
+    merged = dict(endpoint_by_id)
+    for holding in view.holdings:
+        entry = merged.get(holding.endpoint)
+        if entry is None or entry.boot_id != holding.boot_id:
+            continue
+        if entry.sequence > holding.sequence:
+            continue
+        merged[holding.endpoint] = attrs.evolve(
+            entry, models=holding.models, adapters=holding.adapters, sequence=holding.sequence
+        )
+    return merged
+
+
+class HolderLink:
+    """Thread that reports to the holder and applies its view.
+
+    :param clock: seconds that also count while the host is suspended.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        address: str,
+        incarnation: str,
+        scheduler: Owned[Scheduler],
+        holder: Holder,
+        pool: PeerPool,
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self._node = node
+        self._address = address
+        self._incarnation = incarnation
+        self._scheduler = scheduler
+        self._holder = holder
+        self._pool = pool
+        self._log = log
+        self._clock = clock
+        self._lease: LeaseKeeper | None = None
+        self._find_version: Callable[[], int] = lambda: 0
+        self._fetch_newer: Callable[[], None] = lambda: None
+        self._wake = threading.Event()
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._endpoint_by_id: dict[str, EndpointView] = {}
+        self._view: HolderView | None = None
+        self._view_at = float("-inf")
+        self._was_heard = False
+        self._addresses: tuple[str, ...] = ()
+        self.is_stopping = False
+        self._thread = threading.Thread(target=self._run, name="holder-link", daemon=True)
+
+    def connect(
+        self,
+        lease: LeaseKeeper,
+        find_version: Callable[[], int],
+        fetch_newer: Callable[[], None],
+    ) -> None:
+        """Name the services that are made after this one, before the start."""
+        self._lease = lease
+        self._find_version = find_version
+        self._fetch_newer = fetch_newer
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread, without waiting for a call in progress."""
+        self._stop.set()
+        self._wake.set()
+
+    def hurry(self) -> None:
+        """Report at once, because a request waits."""
+        self._wake.set()
+
+    def is_heard(self) -> bool:
+        """Whether the holder answered lately."""
+        return self._clock() - self._view_at < HEARD_S
+
+    def peers(self) -> tuple[str, ...]:
+        """Return the addresses of the hosts that reported to the holder lately."""
+        return self._addresses
+
+    def set_endpoints(self, endpoint_by_id: dict[str, EndpointView]) -> None:
+        """Take over the endpoints and what their entries say."""
+        with self._lock:
+            self._endpoint_by_id = endpoint_by_id
+        self._holder.set_endpoints(endpoint_by_id)
+        self._apply()
+
+    def make_report(self) -> HostReport:
+        """Return what this host tells the holder."""
+        now = time.monotonic()
+
+        def summarise(scheduler: Scheduler) -> tuple[dict, dict, list[SuspectEvent]]:
+            events = scheduler.suspects.events(now, MAX_SUSPECTS)
+            return scheduler.demand(now), scheduler.running(), events
+
+        demand, running, events = self._scheduler.ask(summarise)
+        return HostReport(
+            node=self._node,
+            address=self._address,
+            incarnation=self._incarnation,
+            configuration=self._find_version(),
+            demand_by_item={
+                key: Demand(rate=rate, unmet=unmet, waiting=waiting, running=count)
+                for key, (rate, unmet, waiting, count) in demand.items()
+            },
+            running_by_id=running,
+            suspects=tuple(events),
+            stopping=self.is_stopping,
+        )
+
+    def answer(self, report: HostReport) -> HolderView:
+        """Answer another host's report, or this host's own."""
+        if not self._lease.is_held():
+            return HolderView(node=self._node, fence=0, holds=False)
+        view = self._holder.answer(report)
+        self._merge_suspects(report.suspects)
+        now = time.monotonic()
+        events = self._scheduler.ask(lambda s: s.suspects.events(now, MAX_SUSPECTS))
+        return attrs.evolve(
+            view,
+            configuration=self._find_version(),
+            suspects=tuple(events),
+            lease_version=self._lease.version(),
+        )
+
+    def _run(self) -> None:
+        pause = EXCHANGE_S
+        while not self._stop.is_set():
+            self._wake.wait(pause)
+            self._wake.clear()
+            if self._stop.is_set():
+                return
+            try:
+                is_missing = self._exchange()
+            except Exception as error:
+                # A message that can't be used must not end the exchange.
+                self._log.record("exchange", outcome=f"failed: {error!r}")
+                is_missing = False
+            pause = HURRY_S if is_missing else EXCHANGE_S
+
+    def _exchange(self) -> bool:
+        """Exchange once; return whether requests wait for something that is missing."""
+        view = self._ask_holder()
+        if view is not None and view.holds:
+            with self._lock:
+                self._view, self._view_at = view, self._clock()
+            self._addresses = view.addresses
+            self._lease.confirm(view.lease_version, view.fence)
+            self._merge_suspects(view.suspects)
+            if view.configuration > self._find_version():
+                self._fetch_newer()
+            self._apply()
+        is_heard = self.is_heard()
+        if is_heard != self._was_heard:
+            self._was_heard = is_heard
+            outcome = "regained" if is_heard else "lost"
+            self._log.record("dependency", outcome=outcome, name="holder")
+        return bool(self._scheduler.ask(lambda scheduler: scheduler.missing()))
+
+    def _ask_holder(self) -> HolderView | None:
+        if self._lease.is_held():
+            return self.answer(self.make_report())
+        record = self._lease.holder()
+        if record is None or record.address == self._address:
+            self._scheduler.ask(lambda scheduler: scheduler.serve_waiting(time.monotonic()))
+            return None
+        now = time.monotonic()
+        struct = encode_report(self.make_report(), now)
+        called = self._pool.call(record.address, "exchange", struct)
+        if called.is_err():
+            self._scheduler.ask(lambda scheduler: scheduler.serve_waiting(time.monotonic()))
+            return None
+        return decode_view(called.unwrap(), time.monotonic())
+
+    def _merge_suspects(self, events: Iterable[SuspectEvent]) -> None:
+        now = time.monotonic()
+        events = list(events)
+        if events:
+            self._scheduler.tell(lambda scheduler: scheduler.suspects.merge(events, now))
+
+    def _apply(self) -> None:
+        with self._lock:
+            is_fresh = self._clock() - self._view_at < VIEW_LIFE_S
+            view = self._view
+            endpoints = overlay(self._endpoint_by_id, view)
+        hosts = max(MIN_HOSTS, len(self._addresses))
+        now = time.monotonic()
+
+        def change(scheduler: Scheduler) -> None:
+            scheduler.hosts = hosts
+            if view is not None and is_fresh:
+                for holding in view.holdings:
+                    scheduler.note_load(holding.endpoint, holding.running, 0, now)
+                scheduler.set_expected(view.wait_by_item, now)
+            scheduler.set_endpoints(endpoints, now)
+
+        self._scheduler.tell(change)
+
+
+class HostHandler:
+    """Thrift handler of a host.
+
+    :param answer: answers a report.
+    :param find_configuration: returns version and text of the configuration in force.
+    """
+
+    def __init__(
+        self,
+        answer: Callable[[HostReport], HolderView],
+        find_configuration: Callable[[], tuple[int, bytes]],
+    ) -> None:
+        self._answer = answer
+        self._find_configuration = find_configuration
+
+    def exchange(self, report: ttypes.HostReport) -> ttypes.HolderView:
+        """Answer a host's report."""
+        now = time.monotonic()
+        try:
+            return encode_view(self._answer(decode_report(report, now)), now)
+        except StepError as error:
+            raise make_refused(error) from error
+
+    def configuration(self, known: int) -> ttypes.ConfigurationText:
+        """Return the configuration in force, without its text when the caller knows it."""
+        version, text = self._find_configuration()
+        return ttypes.ConfigurationText(version=version, text=text if version > known else b"")
+
+
+def ask_for_configuration(pool: PeerPool, addresses: Iterable[str], known: int) -> bytes | None:
+    """Return a newer configuration of the first host that has one.
+
+    :param addresses: ``IP:port`` of other hosts.
+    """
+    for address in addresses:
+        called: Any = pool.call(address, "configuration", known)
+        if called.is_ok() and called.unwrap().version > known and called.unwrap().text:
+            return called.unwrap().text
+    return None
--- /dev/null
+++ b/catkinhook/holding.py
@@ -0,0 +1,201 @@
+"""Service of the host that holds the order lease: gathers demand, plans, sends orders."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import attrs
+
+from catkinhook.clocks import Clock
+from catkinhook.decisionlog import DecisionLog
+from catkinhook.enginestates import OrderedEngines
+from catkinhook.hostmessages import HolderView, HostReport, make_holding
+from catkinhook.provisioning import Command, Demand, Provisioner
+from catkinhook.routes import RouteTable
+from catkinhook.stateactor import Owned
+from catkinhook.views import EndpointView
+
+# Seconds between plans when nothing happens; demand that arrives is planned for at once.
+PLAN_INTERVAL_S = 0.1
+# A host that has not reported for this long is left out of the demand.
+REPORT_LIFE_S = 2.0
+# Orders and reports in progress over all engines.
+MAX_CALLS = 12
+
+
+@attrs.define
+class _Desk:
+    """State of the actor: the plan and the reports of all hosts."""
+
+    provisioner: Provisioner
+    report_by_node: dict[str, tuple[HostReport, float]] = attrs.Factory(dict)
+
+    def take(self, report: HostReport, now: float) -> None:
+        if report.stopping:
+            self.report_by_node.pop(report.node, None)
+        else:
+            self.report_by_node[report.node] = (report, now)
+
+    def sum_up(self, now: float) -> None:
+        for node in [n for n, (_, at) in self.report_by_node.items() if now - at > REPORT_LIFE_S]:
+            del self.report_by_node[node]
+        demand: dict[tuple[str, str], Demand] = {}
+        running: dict[str, int] = {}
+        for report, _ in self.report_by_node.values():
+            for key, wanted in report.demand_by_item.items():
+                demand[key] = wanted.plus(demand[key]) if key in demand else wanted
+            for endpoint, count in report.running_by_id.items():
+                running[endpoint] = running.get(endpoint, 0) + count
+        self.provisioner.set_demand(demand, now)
+        self.provisioner.set_running(running)
+
+
+class Holder:
+    """Plans and sends orders while this host holds the lease.
+
+    :param node: name of this host.
+    :param may_order: whether this host may give orders now.
+    :param on_fenced: called when an engine has seen a higher fencing token.
+    :param clock: seconds that also count while the host is suspended.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        provisioner: Provisioner,
+        engines: OrderedEngines,
+        may_order: Callable[[], bool],
+        on_fenced: Callable[[], None],
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self._node = node
+        self._desk: Owned[_Desk] = Owned(_Desk(provisioner))
+        self._engines = engines
+        self._may_order = may_order
+        self._on_fenced = on_fenced
+        self._log = log
+        self._clock = clock
+        self._stop = threading.Event()
+        self._calls: ThreadPoolExecutor | None = None
+        self._thread = threading.Thread(target=self._run, name="holder", daemon=True)
+        self._fence = 0
+
+    def start(self) -> None:
+        """Start the actor and the thread that plans."""
+        self._desk.start()
+        self._calls = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="orders")
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop planning; calls in progress are not waited for."""
+        self._stop.set()
+        self._thread.join()
+        self._calls.shutdown(wait=False, cancel_futures=True)
+        self._desk.close()
+
+    def begin(self, fence: int) -> None:
+        """Begin to give orders under a fencing token."""
+        now = self._clock()
+        self._fence = fence
+
+        def change(desk: _Desk) -> None:
+            desk.provisioner.begin(fence, now)
+            desk.report_by_node.clear()
+
+        self._desk.tell(change)
+        self._wake()
+
+    def set_table(self, table: RouteTable) -> None:
+        """Take over a newer configuration."""
+        self._desk.tell(lambda desk: desk.provisioner.set_table(table))
+
+    def set_endpoints(self, views: dict[str, EndpointView]) -> None:
+        """Take over the endpoints and what their entries say."""
+        now = self._clock()
+        self._desk.tell(lambda desk: desk.provisioner.set_endpoints(views.values(), now))
+
+    def answer(self, report: HostReport) -> HolderView:
+        """Take over a host's report, plan, and return what that host should know."""
+        now = self._clock()
+
+        def handle(desk: _Desk) -> HolderView:
+            desk.take(report, now)
+            desk.sum_up(now)
+            self._plan(desk)
+            provisioner = desk.provisioner
+            return HolderView(
+                node=self._node,
+                fence=self._fence,
+                holds=True,
+                holdings=tuple(make_holding(book) for book in provisioner.holdings()),
+                wait_by_item=provisioner.expected(now),
+                addresses=tuple(r.address for r, _ in desk.report_by_node.values()),
+            )
+
+        return self._desk.ask(handle)
+
+    def _run(self) -> None:
+        while not self._stop.wait(PLAN_INTERVAL_S):
+            if self._may_order():
+                self._wake()
+
+    def _wake(self) -> None:
+        def change(desk: _Desk) -> None:
+            desk.sum_up(self._clock())
+            self._plan(desk)
+
+        self._desk.tell(change)
+
+    def _plan(self, desk: _Desk) -> None:
+        if not self._may_order():
+            return
+        now = self._clock()
+        for view in desk.provisioner.due_reports(now):
+            self._submit(lambda view=view: self._read_state(view))
+        for command in desk.provisioner.plan(now):
+            self._submit(lambda command=command: self._send(command))
+
+    def _submit(self, call: Callable[[], None]) -> None:
+        if not self._stop.is_set():
+            self._calls.submit(call)
+
+    def _read_state(self, view: EndpointView) -> None:
+        asked_at = self._clock()
+        called = self._engines.state(view)
+        if called.is_err():
+            self._log.record("report", outcome=f"failed: {called.unwrap_err()}")
+
+        def change(desk: _Desk) -> None:
+            desk.provisioner.note_state(view.endpoint, called.ok(), asked_at)
+            self._plan(desk)
+
+        self._desk.tell(change)
+
+    def _send(self, command: Command) -> None:
+        order, view = command.order, command.view
+        # The lease may have lapsed while the order waited for a thread.
+        is_sent = self._may_order()
+        called = self._engines.order(view, order) if is_sent else None
+        reply = called.ok() if called is not None else None
+        now = self._clock()
+        outcome = "lease lapsed"
+        if called is not None:
+            outcome = reply.value if reply else f"lost: {called.unwrap_err()}"
+        self._log.record(
+            "order",
+            outcome=outcome,
+            endpoint=view.endpoint,
+            load=order.is_load,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected,
+            fence=order.fence,
+        )
+
+        def change(desk: _Desk) -> None:
+            if not desk.provisioner.note_reply(view.endpoint, order, reply, now):
+                self._on_fenced()
+            self._plan(desk)
+
+        self._desk.tell(change)
--- /dev/null
+++ b/catkinhook/host.py
@@ -0,0 +1,306 @@
+"""Host daemon: callers' listener and orders to engines in one process; wiring only."""
+
+import hashlib
+import os
+import random
+import signal
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+from result import Result
+
+from catkinhook.attempts import Connections
+from catkinhook.decisionlog import DecisionLog
+from catkinhook.enginestates import OrderedEngines
+from catkinhook.feeds import ConditionalRow, Feed
+from catkinhook.forwarding import Forwarder
+from catkinhook.holderlink import HolderLink, HostHandler, ask_for_configuration
+from catkinhook.holding import Holder
+from catkinhook.hostmetrics import HostMetrics
+from catkinhook.hostsettings import HostSettings
+from catkinhook.hoststate import HostState
+from catkinhook.kernel import Kernel
+from catkinhook.leasekeeper import LeaseKeeper
+from catkinhook.listening import Server
+from catkinhook.orderlease import OrderLease
+from catkinhook.peers import PeerPool, PeerServer
+from catkinhook.provisioning import Provisioner
+from catkinhook.routes import RouteTable
+from catkinhook.scheduling import Scheduler
+from catkinhook.settings import KIB, MIB, split_address
+from catkinhook.stateactor import Owned
+from catkinhook.thrift_hosts import Host as HostInterface
+from catkinhook.views import EndpointView
+from catkinhook.watch import CallerWatch
+from catkinhook.watches import ConfigurationWatch, EndpointWatch
+
+# Requests in progress of one host, each of which holds a thread.
+MAX_REQUESTS = 224
+SPARE_THREADS = 6
+# A thread of the request path needs little; the default reserves 8 MB of address space each.
+THREAD_STACK_BYTES = 512 * KIB
+CONNECTION_LIMIT = 1500
+MAX_HEADER_BYTES = 64 * KIB
+MAX_BODY_BYTES = 8 * MIB
+# Kept connections of callers are closed only long after any idle time that callers keep to.
+CHANNEL_TIMEOUT_S = 120
+CALLER_CHECK_S = 0.1
+PEER_TIMEOUT_S = 0.5
+# The listener stays open this long after the stop, until the balancer has seen two failed checks.
+NOTICE_S = 3.0
+# The process ends this long before it would be killed.
+END_MARGIN_S = 0.35
+STOP_POLL_S = 0.05
+
+
+class ApplicationFactory(Protocol):
+    """Makes the WSGI application for callers."""
+
+    def __call__(
+        self,
+        find_table: Callable[[], RouteTable | None],
+        forwarder: Forwarder,
+        connections: Connections,
+        state: HostState,
+    ) -> Callable:
+        """Return the application."""
+
+
+@attrs.frozen(kw_only=True)
+class Platform:
+    """What a host needs of the platform that it runs on.
+
+    :ivar configuration_key: key of the configuration's row.
+    :ivar make_front: makes the application for callers.
+    :ivar make_ready: makes the application of the readiness check and the metrics.
+    """
+
+    configuration_feed: Feed
+    configuration_key: str
+    endpoint_feed: Feed
+    lease_row: ConditionalRow
+    engines: OrderedEngines
+    decode_configuration: Callable[[bytes], Result[RouteTable, str]]
+    decode_endpoint: Callable[[str, bytes], Result[EndpointView, str]]
+    make_front: ApplicationFactory
+    make_ready: Callable[[HostState, Callable[[], bytes]], Callable]
+
+
+def boot_clock() -> float:
+    """Return seconds on a clock that also counts while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class WebListener:
+    """Service that runs waitress in a thread."""
+
+    def __init__(self, application: Callable, address: str, threads: int, name: str) -> None:
+        self._application = application
+        self._address = address
+        self._threads = threads
+        self._name = name
+
+    def start(self) -> None:
+        """Bind and serve."""
+        host, port = split_address(self._address)
+        self.server = Server(
+            self._application,
+            host=host,
+            port=port,
+            threads=self._threads,
+            backlog=1024,
+            connection_limit=CONNECTION_LIMIT,
+            max_request_header_size=MAX_HEADER_BYTES,
+            max_request_body_size=MAX_BODY_BYTES,
+            inbuf_overflow=MAX_BODY_BYTES + MIB,
+            outbuf_overflow=MAX_BODY_BYTES + MIB,
+            channel_request_lookahead=1,
+            channel_timeout=CHANNEL_TIMEOUT_S,
+            asyncore_use_poll=True,
+            log_socket_errors=False,
+            send_bytes=1,
+            ident="catkinhook",
+        )
+        self._thread = threading.Thread(target=self.server.run, name=self._name, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        self.server.shut_down()
+        self._thread.join(timeout=0.2)
+
+
+class Host:
+    """All services of one host.
+
+    :param settings: checked settings.
+    :param platform: the platform that it runs on.
+    """
+
+    def __init__(self, settings: HostSettings, platform: Platform) -> None:
+        self._settings = settings
+        bounds = settings.bounds
+        incarnation = uuid.uuid4().hex[:12]
+        origin = f"{settings.node}/{incarnation}"
+        self.metrics = HostMetrics()
+        self.log = DecisionLog(settings.node, self.metrics.registry)
+        self.state = HostState(MAX_REQUESTS, bounds.grace_s, self._explain_unready, self.log)
+        scheduler = Owned(Scheduler(settings.zone, origin, bounds, random.Random()))
+        connections = Connections()
+        watch = CallerWatch(CALLER_CHECK_S)
+        secret = make_secret(settings)
+        pool = PeerPool(secret, PEER_TIMEOUT_S, interface=HostInterface)
+        holder = Holder(
+            settings.node,
+            Provisioner(settings.node, bounds),
+            platform.engines,
+            lambda: self.lease.is_held(),
+            lambda: self.lease.drop("an engine has seen a higher fencing token"),
+            self.log,
+            boot_clock,
+        )
+        self.link = HolderLink(
+            settings.node,
+            settings.peer_address,
+            incarnation,
+            scheduler,
+            holder,
+            pool,
+            self.log,
+            boot_clock,
+        )
+        self.lease = LeaseKeeper(
+            OrderLease(settings.node, settings.peer_address, bounds.lease_s),
+            platform.lease_row,
+            self.link.is_heard,
+            holder.begin,
+            self.log,
+            boot_clock,
+        )
+
+        def use_table(table: RouteTable) -> None:
+            scheduler.tell(lambda s: s.set_table(table))
+            holder.set_table(table)
+
+        self.configuration = ConfigurationWatch(
+            platform.configuration_feed,
+            platform.configuration_key,
+            platform.decode_configuration,
+            use_table,
+            lambda known: ask_for_configuration(pool, self._peers(), known),
+            self.log,
+        )
+        self.endpoints = EndpointWatch(
+            platform.endpoint_feed, platform.decode_endpoint, self.link.set_endpoints, self.log
+        )
+        self.link.connect(
+            self.lease, lambda: self.configuration.version, self.configuration.fetch_newer
+        )
+        handler = HostHandler(
+            self.link.answer, lambda: (self.configuration.version, self.configuration.text)
+        )
+        forwarder = Forwarder(scheduler, watch, self.metrics, self.log, self.link.hurry)
+        front = platform.make_front(
+            lambda: self.configuration.table, forwarder, connections, self.state
+        )
+        threads = MAX_REQUESTS + SPARE_THREADS
+        self.front = WebListener(front, settings.front_address, threads, "front")
+        ready = platform.make_ready(self.state, self._render_metrics)
+        self.kernel = Kernel()
+        for name, service in (
+            ("log", self.log),
+            ("scheduler", scheduler),
+            ("connections", connections),
+            ("caller-watch", watch),
+            ("peer-pool", pool),
+            ("holder", holder),
+            (
+                "peer-server",
+                PeerServer(settings.peer_address, handler, secret, interface=HostInterface),
+            ),
+            ("ready", WebListener(ready, settings.ready_address, 1, "ready")),
+            ("configuration", self.configuration),
+            ("endpoints", self.endpoints),
+            ("holder-link", self.link),
+            ("lease", self.lease),
+            ("front", self.front),
+        ):
+            self.kernel.register(name, service)
+
+    def _peers(self) -> list[str]:
+        own = self._settings.peer_address
+        known = dict.fromkeys((*self.link.peers(), *self._settings.seeds))
+        return [address for address in known if address != own]
+
+    def _explain_unready(self) -> str:
+        if self.configuration.table is None:
+            return "no configuration is known yet"
+        if not self.endpoints.is_known:
+            return "no endpoints are known yet"
+        return ""
+
+    def _render_metrics(self) -> bytes:
+        self.metrics.in_progress.set(self.state.in_progress)
+        return self.metrics.render()
+
+    def stop(self) -> None:
+        """Let requests in progress end, then close all services."""
+        began = time.monotonic()
+        self.state.stop()
+        self.log.record("process", outcome="stopping", in_progress=self.state.in_progress)
+        self.link.is_stopping = True
+        self.lease.resign()
+        end = began + self._settings.bounds.grace_s - END_MARGIN_S
+        while time.monotonic() < end:
+            is_idle = not self.state.in_progress and self.front.server.is_flushed()
+            if is_idle and time.monotonic() - began >= NOTICE_S:
+                break
+            time.sleep(STOP_POLL_S)
+        self.log.record("process", outcome="stopped", in_progress=self.state.in_progress)
+        self.log.close()
+
+
+def make_secret(settings: HostSettings) -> bytes:
+    """Return what hosts of one deployment prove to each other.
+
+    The platform gives hosts no secret. The digest only keeps hosts of different deployments apart.
+    """
+    return hashlib.sha256(f"catkinhook {settings.store_address}".encode()).digest()
+
+
+def run_host(
+    settings: HostSettings,
+    platform: Platform,
+    reread: Callable[[], object],
+) -> int:
+    """Run a host until SIGTERM.
+
+    :param reread: reads the settings again, after SIGHUP.
+    """
+    threading.stack_size(THREAD_STACK_BYTES)
+    host = Host(settings, platform)
+    wake = threading.Event()
+    signals: list[int] = []
+
+    def note(number: int, frame: object) -> None:
+        signals.append(number)
+        wake.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, note)
+    host.kernel.start()
+    host.log.record("process", outcome="started", zone=settings.zone, pid=os.getpid())
+    while True:
+        wake.wait()
+        wake.clear()
+        while signals:
+            if signals.pop(0) == signal.SIGHUP:
+                host.log.record("process", outcome=f"reload: {reread()}")
+                continue
+            host.stop()
+            # Threads that wait for a store or an endpoint must not delay the end.
+            os._exit(0)
--- /dev/null
+++ b/catkinhook/hostmessages.py
@@ -0,0 +1,219 @@
+"""What hosts tell each other, and its conversion to and from thrift."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from catkinhook.provisioning import Book, Demand
+from catkinhook.reports import Suspect, read_shared
+from catkinhook.suspects import SuspectEvent
+from catkinhook.thrift_hosts import ttypes
+from catkinhook.wire import decode_suspects, encode_suspects, require_fields
+
+# Suspect events in one message, newest first.
+MAX_SUSPECTS = 64
+
+
+@attrs.frozen(kw_only=True)
+class HostReport:
+    """What a host tells the holder of the order lease.
+
+    :ivar address: ``IP:port`` of its thrift listener.
+    :ivar incarnation: differs after each restart.
+    :ivar configuration: version in force there.
+    :ivar demand_by_item: demand by service and item.
+    :ivar running_by_id: its requests in progress by endpoint.
+    """
+
+    node: str
+    address: str
+    incarnation: str
+    configuration: int
+    demand_by_item: dict[tuple[str, str], Demand]
+    running_by_id: dict[str, int]
+    suspects: tuple[SuspectEvent, ...] = ()
+    stopping: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Holding:
+    """What an engine holds, as the holder of the order lease knows it.
+
+    :ivar running: requests of all hosts in progress there.
+    """
+
+    endpoint: str
+    boot_id: str
+    sequence: int
+    models: frozenset[str]
+    adapters: frozenset[str]
+    running: int
+
+
+@attrs.frozen(kw_only=True)
+class HolderView:
+    """What the holder of the order lease tells a host.
+
+    :ivar holds: false when the sender does not hold the lease.
+    :ivar wait_by_item: seconds until missing items will be available.
+    :ivar addresses: thrift listeners of all hosts that reported lately.
+    :ivar lease_version: version of the lease row.
+    """
+
+    node: str
+    fence: int
+    holds: bool
+    holdings: tuple[Holding, ...] = ()
+    wait_by_item: dict[tuple[str, str], float] = attrs.Factory(dict)
+    addresses: tuple[str, ...] = ()
+    configuration: int = 0
+    suspects: tuple[SuspectEvent, ...] = ()
+    lease_version: int = 0
+
+
+def make_holding(book: Book) -> Holding:
+    """Return what hosts are told of an engine."""
+    usable = book.usable_models()
+    adapters = [item for item in book.held_adapters() if item.partition("/")[0] in usable]
+    return Holding(
+        endpoint=book.view.endpoint,
+        boot_id=book.view.boot_id,
+        sequence=book.sequence,
+        models=usable,
+        adapters=frozenset(adapters),
+        running=book.running,
+    )
+
+
+def encode_report(report: HostReport, now: float) -> ttypes.HostReport:
+    """Return the struct of a report."""
+    return ttypes.HostReport(
+        node=report.node,
+        address=report.address,
+        incarnation=report.incarnation,
+        configuration=report.configuration,
+        items=[
+            ttypes.ItemDemand(
+                service_name=service,
+                item=item,
+                rate=demand.rate,
+                unmet=demand.unmet,
+                waiting=demand.waiting,
+                running=demand.running,
+            )
+            for (service, item), demand in report.demand_by_item.items()
+        ],
+        uses=[
+            ttypes.EndpointUse(endpoint=endpoint, running=running)
+            for endpoint, running in report.running_by_id.items()
+        ],
+        suspects=_encode_events(report.suspects, now),
+        stopping=report.stopping,
+    )
+
+
+def decode_report(struct: ttypes.HostReport, now: float) -> HostReport:
+    """Return the report of a struct.
+
+    :raises StepError: if a field is missing.
+    """
+    require_fields(struct, struct.node or "")
+    return HostReport(
+        node=struct.node,
+        address=struct.address,
+        incarnation=struct.incarnation,
+        configuration=struct.configuration,
+        demand_by_item={
+            (entry.service_name, entry.item): Demand(
+                rate=max(0.0, entry.rate),
+                unmet=max(0.0, entry.unmet),
+                waiting=max(0, entry.waiting),
+                running=max(0, entry.running),
+            )
+            for entry in struct.items
+        },
+        running_by_id={use.endpoint: max(0, use.running) for use in struct.uses},
+        suspects=_decode_events(struct.suspects, now),
+        stopping=struct.stopping,
+    )
+
+
+def encode_view(view: HolderView, now: float) -> ttypes.HolderView:
+    """Return the struct of a holder's view."""
+    return ttypes.HolderView(
+        node=view.node,
+        fence=view.fence,
+        holds=view.holds,
+        holdings=[
+            ttypes.Holding(
+                endpoint=holding.endpoint,
+                boot_id=holding.boot_id,
+                sequence=holding.sequence,
+                models=sorted(holding.models),
+                adapters=sorted(holding.adapters),
+                running=holding.running,
+            )
+            for holding in view.holdings
+        ],
+        expected=[
+            ttypes.ExpectedItem(service_name=service, item=item, wait_ms=int(wait * 1000))
+            for (service, item), wait in view.wait_by_item.items()
+        ],
+        addresses=list(view.addresses),
+        configuration=view.configuration,
+        suspects=_encode_events(view.suspects, now),
+        lease_version=view.lease_version,
+    )
+
+
+def decode_view(struct: ttypes.HolderView, now: float) -> HolderView:
+    """Return the holder's view of a struct.
+
+    :raises StepError: if a field is missing.
+    """
+    require_fields(struct, struct.node or "")
+    return HolderView(
+        node=struct.node,
+        fence=struct.fence,
+        holds=struct.holds,
+        holdings=tuple(
+            Holding(
+                endpoint=entry.endpoint,
+                boot_id=entry.boot_id,
+                sequence=entry.sequence,
+                models=frozenset(entry.models),
+                adapters=frozenset(entry.adapters),
+                running=max(0, entry.running),
+            )
+            for entry in struct.holdings
+        ),
+        wait_by_item={
+            (entry.service_name, entry.item): max(0, entry.wait_ms) / 1000
+            for entry in struct.expected
+        },
+        addresses=tuple(struct.addresses),
+        configuration=struct.configuration,
+        suspects=_decode_events(struct.suspects, now),
+        lease_version=struct.lease_version,
+    )
+
+
+def _encode_events(events: Iterable[SuspectEvent], now: float) -> list:
+    shared = [
+        Suspect(
+            fingerprint=event.fingerprint,
+            model=event.model,
+            kind=event.kind,
+            origin=event.origin,
+            sequence=event.sequence,
+            seen_at=now - event.age,
+            endpoint=event.endpoint,
+            boot_id=event.boot_id,
+        )
+        for event in events
+    ]
+    return encode_suspects(shared, now)
+
+
+def _decode_events(structs: list, now: float) -> tuple[SuspectEvent, ...]:
+    return tuple(read_shared(decode_suspects(structs, now), now))
--- /dev/null
+++ b/catkinhook/hostmetrics.py
@@ -0,0 +1,32 @@
+"""Prometheus metrics of the ``host`` daemon."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.31, 0.6, 1.0, 1.5, 2.5, 5.0, 8.0, 15.0, 25.0)
+
+
+class HostMetrics:
+    """Counters and histograms in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        own = {"registry": self.registry, "namespace": "catkinhook"}
+        labels = ("service", "route")
+        self.requests = Counter(
+            "requests", "Requests that ended, by HTTP status.", (*labels, "status"), **own
+        )
+        self.attempts = Counter(
+            "failed_attempts", "Attempts that failed, by outcome.", ("service", "outcome"), **own
+        )
+        self.duration = Histogram(
+            "request_seconds", "Time to the end of the answer.", labels, buckets=_SECONDS, **own
+        )
+        self.first_event = Histogram(
+            "first_event_seconds", "Time to the first bytes.", labels, buckets=_SECONDS, **own
+        )
+        self.in_progress = Gauge("requests_in_progress", "Requests that hold a slot.", **own)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/catkinhook/hostsettings.py
@@ -0,0 +1,61 @@
+"""Settings of the ``host`` daemon, which serves callers and orders models in one process."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """Times and shares that the deployment promises or demands.
+
+    :ivar drain_s: seconds after which a leaving endpoint gets no new request.
+    :ivar grace_s: seconds between SIGTERM and SIGKILL.
+    :ivar apply_s: seconds after which an accepted configuration is in force.
+    :ivar contact_s: seconds without trouble after which a host counts as connected.
+    :ivar retry_share: repeated sends of a service as a share of its requests, over all hosts.
+    :ivar retry_window_s: seconds of the window in which repeated sends are counted.
+    :ivar retry_slack: repeated sends that are free in each window, over all hosts.
+    :ivar lease_s: seconds after which an order lease lapses without renewal.
+    :ivar load_window_s: seconds of the window in which loads from the weight store are counted.
+    :ivar load_overage: permitted loads as a multiple of the weight store's rate.
+    """
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    apply_s: float = 2.0
+    contact_s: float = 3.0
+    retry_share: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+    lease_s: float = 3.0
+    load_window_s: float = 5.0
+    load_overage: float = 1.1
+
+
+@attrs.frozen(kw_only=True)
+class HostSettings:
+    """Everything a ``host`` process learns at start.
+
+    :ivar front_address: ``IP:port`` for callers.
+    :ivar ready_address: ``IP:port`` of the readiness check.
+    :ivar peer_address: ``IP:port`` for the other hosts.
+    :ivar seeds: ``IP:port`` of some hosts, which may be down or gone.
+    :ivar store_address: ``IP:port`` of the store.
+    :ivar heartbeat_s: seconds between heartbeats of endpoints.
+    :ivar max_descriptors: descriptors that this process may open.
+    :ivar memory_mb: memory of this process.
+    :ivar link_mbps: bandwidth of this host's link in Mbit/s.
+    """
+
+    node: str
+    zone: str
+    region: str
+    front_address: str
+    ready_address: str
+    peer_address: str
+    seeds: tuple[str, ...]
+    store_address: str
+    heartbeat_s: float = 1.0
+    max_descriptors: int = 4096
+    memory_mb: float = 256.0
+    link_mbps: float = 1000.0
+    bounds: Bounds = Bounds()
--- /dev/null
+++ b/catkinhook/leasekeeper.py
@@ -0,0 +1,173 @@
+"""Service that takes, renews and gives back the lease for orders."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from catkinhook.clocks import Clock
+from catkinhook.decisionlog import DecisionLog
+from catkinhook.errors import StoreConflict
+from catkinhook.feeds import ConditionalRow
+from catkinhook.orderlease import LeaseRecord, OrderLease, Step, decode_lease, encode_lease
+
+# Seconds between looks at the lease.
+POLL_S = 0.25
+# Seconds between reads of the row while its holder isn't heard.
+READ_INTERVAL_S = 0.5
+# Hosts that find the lease lapsed write at different times, so that most see the first write.
+TAKE_SPREAD_S = 0.2
+
+
+class LeaseKeeper:
+    """Thread around ``OrderLease``.
+
+    :param row: the lease's row in the store.
+    :param is_heard: whether the holder answered this host lately.
+    :param on_acquire: called with the fencing token when this host becomes the holder.
+    :param clock: seconds that also count while the host is suspended.
+    """
+
+    def __init__(
+        self,
+        lease: OrderLease,
+        row: ConditionalRow,
+        is_heard: Callable[[], bool],
+        on_acquire: Callable[[int], None],
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self._lease = lease
+        self._row = row
+        self._is_heard = is_heard
+        self._on_acquire = on_acquire
+        self._log = log
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._is_resigned = False
+        self._read_at = float("-inf")
+        self._was_held = False
+        self._thread = threading.Thread(target=self._run, name="order-lease", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+        self._thread.join()
+
+    def is_held(self) -> bool:
+        """Whether this host may give orders now."""
+        with self._lock:
+            return self._lease.is_held(self._clock())
+
+    def holder(self) -> LeaseRecord | None:
+        """Return the holder as it is known, None when there is none."""
+        with self._lock:
+            record = self._lease.record
+            return None if record is None or record.released else record
+
+    def version(self) -> int:
+        """Return the version of the row as it is known."""
+        with self._lock:
+            return self._lease.version
+
+    def confirm(self, version: int, fence: int) -> None:
+        """Take over what the holder said of its row."""
+        with self._lock:
+            self._lease.confirm(version, fence, self._clock())
+
+    def drop(self, reason: str) -> None:
+        """Stop giving orders because another holder was seen."""
+        with self._lock:
+            self._lease.drop()
+            fence = self._lease.fence
+        self._log.record("lease", outcome="dropped", reason=reason, fence=fence)
+
+    def resign(self) -> None:
+        """Give the lease back and take it no more, because this host stops."""
+        self._is_resigned = True
+        with self._lock:
+            is_held = self._lease.is_held(self._clock())
+            record = self._lease.draft(True, released=True)
+            expected = self._lease.version
+            self._lease.drop()
+        if is_held:
+            written = self._row.write(expected, encode_lease(record))
+            outcome = "released" if written.is_ok() else f"not released: {written.err()}"
+            self._log.record("lease", outcome=outcome, fence=record.fence)
+
+    def _run(self) -> None:
+        while not self._stop.wait(POLL_S * random.uniform(0.8, 1.2)):
+            if self._is_resigned:
+                continue
+            self.step()
+
+    def step(self) -> None:
+        """Do what is due now."""
+        now = self._clock()
+        with self._lock:
+            step = self._lease.next_step(now, self._is_heard())
+            is_held = self._lease.is_held(now)
+        if self._was_held and not is_held:
+            self._log.record("lease", outcome="lapsed", fence=self._lease.fence)
+        self._was_held = is_held
+        if step is Step.RENEW:
+            self._write(is_renewal=True)
+        elif step is Step.TAKE:
+            self._stop.wait(random.uniform(0.0, TAKE_SPREAD_S))
+            # The row is read again, since the time that it was unchanged ends with the read.
+            if self._read() and self._lease.next_step(self._clock(), False) is Step.TAKE:
+                self._write(is_renewal=False)
+        elif step is Step.READ and now - self._read_at >= READ_INTERVAL_S:
+            self._read()
+
+    def _read(self) -> bool:
+        self._read_at = now = self._clock()
+        read = self._row.read()
+        if read.is_err():
+            return False
+        row = read.unwrap()
+        with self._lock:
+            known = self._lease.record
+            self._lease.observe(row.version, decode_lease(row.value), now)
+            record = self._lease.record
+        if record != known:
+            node = record.node if record else ""
+            self._log.record("lease", outcome="seen", holder=node, version=row.version)
+        return True
+
+    def _write(self, is_renewal: bool) -> None:
+        with self._lock:
+            record = self._lease.draft(is_renewal)
+            expected = self._lease.version
+        sent_at = self._clock()
+        written = self._row.write(expected, encode_lease(record))
+        if self._is_resigned:
+            return
+        if written.is_ok():
+            self._hold(written.unwrap(), record, sent_at, is_renewal)
+            return
+        error = written.unwrap_err()
+        if not self._read():
+            return
+        with self._lock:
+            is_own = self._lease.is_own(self._lease.record)
+            is_newer = self._lease.version > expected
+            version = self._lease.version
+        if is_own and is_newer and self._lease.fence == record.fence:
+            # The answer was lost, but the write took effect.
+            self._hold(version, record, sent_at, is_renewal)
+        elif isinstance(error, StoreConflict) and is_renewal:
+            self.drop("another host wrote the lease")
+
+    def _hold(self, version: int, record: LeaseRecord, sent_at: float, is_renewal: bool) -> None:
+        with self._lock:
+            was_held = self._lease.is_held(self._clock())
+            self._lease.hold(version, record, sent_at, self._clock())
+        self._was_held = True
+        if not is_renewal or not was_held:
+            self._log.record("lease", outcome="acquired", fence=record.fence, version=version)
+            self._on_acquire(record.fence)
--- /dev/null
+++ b/catkinhook/orderlease.py
@@ -0,0 +1,156 @@
+"""Lease for giving orders: one row of the store that names the holder and its fencing token."""
+
+import enum
+import json
+import uuid
+
+import attrs
+
+# Part of the lease time after which the holder renews it.
+RENEW_SHARE = 1 / 3
+# Seconds before the lease lapses at which its holder stops giving orders, which covers an order
+# that is on its way.
+HOLD_MARGIN_S = 0.7
+# Seconds beyond the lease time for which others leave an unchanged row alone.
+TAKE_MARGIN_S = 0.3
+MAX_ROW_BYTES = 4096
+
+
+class Step(enum.Enum):
+    """What to do about the lease now."""
+
+    WAIT = "wait"
+    READ = "read"
+    RENEW = "renew"
+    TAKE = "take"
+
+
+@attrs.frozen(kw_only=True)
+class LeaseRecord:
+    """Content of the row.
+
+    :ivar address: ``IP:port`` at which the holder listens for other hosts.
+    :ivar fence: fencing token, higher with each holder.
+    :ivar nonce: tells the writer that a write with a lost answer was its own.
+    :ivar released: the holder has given the lease back.
+    """
+
+    node: str
+    address: str
+    fence: int
+    nonce: str
+    released: bool = False
+
+
+def encode_lease(record: LeaseRecord) -> bytes:
+    """Return the bytes of a row."""
+    return json.dumps(attrs.asdict(record)).encode()
+
+
+def decode_lease(value: bytes) -> LeaseRecord | None:
+    """Return the content of a row, None for one that isn't a lease."""
+    if not value or len(value) > MAX_ROW_BYTES:
+        return None
+    try:
+        fields = json.loads(value)
+        record = LeaseRecord(**fields)
+    except (ValueError, TypeError):
+        return None
+    texts = (record.node, record.address, record.nonce)
+    is_valid = all(isinstance(text, str) for text in texts) and isinstance(record.fence, int)
+    return record if is_valid else None
+
+
+class OrderLease:
+    """What one host knows of the lease; time is passed in and must count suspended seconds too.
+
+    :param node: name of this host.
+    :param address: ``IP:port`` at which it listens for other hosts.
+    :param lease_s: seconds after which an unchanged row has lapsed.
+    """
+
+    def __init__(self, node: str, address: str, lease_s: float) -> None:
+        self._node = node
+        self._address = address
+        self._lease_s = lease_s
+        self._nonce = uuid.uuid4().hex
+        self._changed_at: float | None = None
+        self._held_until = float("-inf")
+        self._renewed_at = float("-inf")
+        self._highest = 0
+        self.version = 0
+        self.record: LeaseRecord | None = None
+
+    def is_held(self, now: float) -> bool:
+        """Whether this host may give orders."""
+        return now < self._held_until
+
+    @property
+    def fence(self) -> int:
+        """Fencing token of the row as it is known."""
+        return self.record.fence if self.record else 0
+
+    def next_step(self, now: float, is_heard: bool) -> Step:
+        """Decide what to do.
+
+        :param is_heard: the holder answered this host lately and says that it holds the lease.
+        """
+        if self.is_held(now):
+            is_due = now - self._renewed_at >= RENEW_SHARE * self._lease_s
+            return Step.RENEW if is_due else Step.WAIT
+        if is_heard:
+            return Step.WAIT
+        return Step.TAKE if self._is_free(now) else Step.READ
+
+    def observe(self, version: int, record: LeaseRecord | None, now: float) -> None:
+        """Take over a row that was read."""
+        if self._changed_at is None or version != self.version:
+            self.version, self.record, self._changed_at = version, record, now
+        self._highest = max(self._highest, self.fence)
+
+    def confirm(self, version: int, fence: int, now: float) -> None:
+        """Take over what the holder itself said of its row."""
+        if self.record is not None and fence == self.record.fence and version > self.version:
+            self.version, self._changed_at = version, now
+
+    def draft(self, is_renewal: bool, released: bool = False) -> LeaseRecord:
+        """Return the content to write."""
+        fence = self.fence if is_renewal else self._highest + 1
+        return LeaseRecord(
+            node=self._node,
+            address=self._address,
+            fence=fence,
+            nonce=self._nonce,
+            released=released,
+        )
+
+    def hold(self, version: int, record: LeaseRecord, sent_at: float, now: float) -> None:
+        """Take over a write that took effect.
+
+        :param sent_at: time before the write was sent, from which the lease is counted.
+        """
+        self.version, self.record, self._changed_at = version, record, now
+        self._highest = max(self._highest, record.fence)
+        self._renewed_at = sent_at
+        self._held_until = sent_at + self._lease_s - HOLD_MARGIN_S
+        if record.released:
+            self._held_until = float("-inf")
+
+    def drop(self) -> None:
+        """Stop giving orders."""
+        self._held_until = float("-inf")
+
+    def is_own(self, record: LeaseRecord | None) -> bool:
+        """Whether a row was written by this process."""
+        return record is not None and record.nonce == self._nonce
+
+    def note_fence(self, fence: int) -> None:
+        """Use only tokens above one that was seen."""
+        self._highest = max(self._highest, fence)
+
+    def _is_free(self, now: float) -> bool:
+        if self._changed_at is None:
+            return False
+        if self.record is None or self.record.released:
+            return True
+        return now - self._changed_at >= self._lease_s + TAKE_MARGIN_S
--- a/catkinhook/peers.py
+++ b/catkinhook/peers.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from types import ModuleType
 from typing import Any
 
 import attrs
@@ -154,17 +155,24 @@
     """One reused connection to one peer; calls from several threads take turns.
 
     :param timeout: seconds for one call, connecting included.
+    :param interface: generated module of the service that the peer offers.
     """
 
     def __init__(
-        self, address: str, secret: bytes, timeout: float = CALL_TIMEOUT, clock: Clock = monotonic
+        self,
+        address: str,
+        secret: bytes,
+        timeout: float = CALL_TIMEOUT,
+        clock: Clock = monotonic,
+        interface: ModuleType = Controller,
     ) -> None:
         self.address = address
+        self._interface = interface
         self._secret = _check_secret(secret)
         self._timeout = timeout
         self._clock = clock
         self._transport: SocketTransport | None = None
-        self._client: Controller.Client | None = None
+        self._client: Any = None
         self._lock = threading.Lock()
         self._closed = False
         self.used_at = clock()
@@ -231,7 +239,7 @@
             raise
         framed = TFramedTransport(transport, MAX_REPLY_FRAME)
         self._transport = transport
-        self._client = Controller.Client(_PROTOCOLS.getProtocol(framed))
+        self._client = self._interface.Client(_PROTOCOLS.getProtocol(framed))
 
     def _drop(self) -> None:
         if self._transport:
@@ -248,8 +256,13 @@
     """Connections to peers, one for each address, closed when idle."""
 
     def __init__(
-        self, secret: bytes, timeout: float = CALL_TIMEOUT, clock: Clock = monotonic
+        self,
+        secret: bytes,
+        timeout: float = CALL_TIMEOUT,
+        clock: Clock = monotonic,
+        interface: ModuleType = Controller,
     ) -> None:
+        self._interface = interface
         self._secret = _check_secret(secret)
         self._timeout = timeout
         self._clock = clock
@@ -273,7 +286,9 @@
             idle = self._take_idle(address)
             client = self._client_by_address.get(address)
             if client is None:
-                client = PeerClient(address, self._secret, self._timeout, self._clock)
+                client = PeerClient(
+                    address, self._secret, self._timeout, self._clock, self._interface
+                )
                 self._client_by_address[address] = client
         for other in idle:
             other.close()
@@ -304,9 +319,10 @@
 
 
 class PeerServer:
-    """Listener that serves a handler of the ``Controller`` interface, one thread a connection.
+    """Listener that serves a handler, one thread a connection.
 
     :param address: ``IP:port``; port 0 takes a free one.
+    :param interface: generated module of the service that the handler implements.
     """
 
     def __init__(
@@ -316,9 +332,11 @@
         secret: bytes,
         max_connections: int = MAX_CONNECTIONS,
         clock: Clock = monotonic,
+        interface: ModuleType = Controller,
     ) -> None:
         self._wanted = address
-        self._processor = Controller.Processor(handler)
+        self._interface = interface
+        self._processor = interface.Processor(handler)
         self._secret = _check_secret(secret)
         self._max_connections = max_connections
         self._clock = clock
@@ -333,7 +351,7 @@
 
     def set_handler(self, handler: Any) -> None:
         """Set the handler, before the start, when it needs the address that was bound."""
-        self._processor = Controller.Processor(handler)
+        self._processor = self._interface.Processor(handler)
 
     def bind(self) -> str:
         """Bind the address without accepting yet; returns it with the port that was taken.
--- /dev/null
+++ b/catkinhook/platform/assembly.py
@@ -0,0 +1,41 @@
+"""Assembles the adapter's parts for a host."""
+
+import random
+from collections.abc import Callable
+
+from catkinhook.attempts import Connections
+from catkinhook.forwarding import Forwarder
+from catkinhook.host import Platform
+from catkinhook.hostsettings import HostSettings
+from catkinhook.hoststate import HostState
+from catkinhook.platform import names
+from catkinhook.platform.engine import EngineClient
+from catkinhook.platform.front import FrontApplication, ReadyApplication
+from catkinhook.platform.records import decode_configuration, decode_endpoint
+from catkinhook.platform.store import StoreClient, TableFeed, TableRow
+from catkinhook.routes import RouteTable
+
+
+def make_platform(settings: HostSettings) -> Platform:
+    """Return the platform as a host sees it."""
+    store = StoreClient(settings.store_address)
+
+    def make_front(
+        find_table: Callable[[], RouteTable | None],
+        forwarder: Forwarder,
+        connections: Connections,
+        state: HostState,
+    ) -> FrontApplication:
+        return FrontApplication(find_table, forwarder, connections, state, random.Random())
+
+    return Platform(
+        configuration_feed=TableFeed(store, names.CONFIG_TABLE),
+        configuration_key=names.CONFIG_KEY,
+        endpoint_feed=TableFeed(store, names.ENDPOINT_TABLE),
+        lease_row=TableRow(store, names.OWN_TABLE, names.LEASE_KEY),
+        engines=EngineClient(),
+        decode_configuration=decode_configuration,
+        decode_endpoint=decode_endpoint,
+        make_front=make_front,
+        make_ready=ReadyApplication,
+    )
--- /dev/null
+++ b/catkinhook/platform/boot.py
@@ -0,0 +1,121 @@
+"""Reader of the platform's settings file, lines of the form ``a.b=value``."""
+
+import math
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+from result import Err, Ok, Result
+
+from catkinhook.hostsettings import Bounds, HostSettings
+from catkinhook.platform.names import SETTINGS_VARIABLE
+from catkinhook.settings import split_address
+from catkinhook.yamlfile import Fault
+
+_MS = 0.001
+
+# Setting by field of the file, with the factor that turns it into the setting's unit.
+_NUMBERS: tuple[tuple[str, str, float], ...] = (
+    ("heartbeat_ms", "heartbeat_s", _MS),
+    ("limits.max_fds", "max_descriptors", 1),
+    ("limits.memory_mb", "memory_mb", 1),
+    ("limits.link_mbps", "link_mbps", 1),
+)
+_BOUNDS: tuple[tuple[str, str, float], ...] = (
+    ("bounds.drain_ms", "drain_s", _MS),
+    ("bounds.grace_s", "grace_s", 1),
+    ("bounds.config_apply_ms", "apply_s", _MS),
+    ("bounds.contact_ms", "contact_s", _MS),
+    ("bounds.retry_budget", "retry_share", 1),
+    ("bounds.budget_window_s", "retry_window_s", 1),
+    ("bounds.retry_slack", "retry_slack", 1),
+    ("bounds.lease_ms", "lease_s", _MS),
+    ("bounds.ceiling_window_s", "load_window_s", 1),
+    ("bounds.ceiling_overage", "load_overage", 1),
+)
+_ADDRESSES: tuple[tuple[str, str], ...] = (
+    ("listen.front", "front_address"),
+    ("listen.ready", "ready_address"),
+    ("listen.control", "peer_address"),
+    ("platform.address", "store_address"),
+)
+
+
+def find_settings_file() -> Path | None:
+    """Return the path that the platform names, None when it names none."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    return Path(path) if path else None
+
+
+def read_boot_file(path: Path) -> Result[HostSettings, list[Fault]]:
+    """Read and check a settings file; fields that aren't known are ignored.
+
+    :returns: the settings, or all faults with their lines.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Fault(str(path), 0, "", f"cannot read: {error}")])
+    return parse_boot_text(text, str(path))
+
+
+def parse_boot_text(text: str, file: str) -> Result[HostSettings, list[Fault]]:
+    """Check the text of a settings file.
+
+    :param file: name of the file, for faults.
+    """
+    value_by_field: dict[str, str] = {}
+    line_by_field: dict[str, int] = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        field, mark, value = line.partition("=")
+        if mark:
+            value_by_field[field.strip()] = value.strip()
+            line_by_field[field.strip()] = number
+    faults: list[Fault] = []
+
+    def read(field: str, convert: Callable[[str], object], default: object = None) -> object:
+        if not value_by_field.get(field):
+            if default is None:
+                faults.append(Fault(file, 0, field, "is missing"))
+            return default
+        try:
+            return convert(value_by_field[field])
+        except ValueError as error:
+            faults.append(Fault(file, line_by_field[field], field, str(error)))
+            return default
+
+    def read_all(table: tuple[tuple[str, str, float], ...], kind: type) -> dict[str, object]:
+        defaults = {field.name: field.default for field in attrs.fields(kind)}
+        return {
+            name: read(field, _scale(factor, type(defaults[name])), defaults[name])
+            for field, name, factor in table
+        }
+
+    values: dict[str, object] = {name: read(field, _address) for field, name in _ADDRESSES}
+    values |= {name: read(name, str) for name in ("node", "zone")}
+    values |= {"region": read("region", str, "default"), "seeds": read("seeds", _addresses, ())}
+    values |= read_all(_NUMBERS, HostSettings)
+    bounds = read_all(_BOUNDS, Bounds)
+    if faults:
+        return Err(faults)
+    return Ok(HostSettings(bounds=Bounds(**bounds), **values))
+
+
+def _scale(factor: float, kind: type) -> Callable[[str], object]:
+    def convert(text: str) -> object:
+        number = float(text) * factor
+        if not math.isfinite(number) or number < 0:
+            raise ValueError(f"{text!r} is not a number from 0")
+        return kind(number)
+
+    return convert
+
+
+def _address(text: str) -> str:
+    split_address(text)
+    return text
+
+
+def _addresses(text: str) -> tuple[str, ...]:
+    return tuple(_address(part) for part in text.split(",") if part)
--- /dev/null
+++ b/catkinhook/platform/front.py
@@ -0,0 +1,265 @@
+"""WSGI application for the platform's callers: decodes requests, encodes answers."""
+
+import json
+import random
+import time
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+
+import attrs
+import xxhash
+
+from catkinhook.attempts import Connections
+from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
+from catkinhook.forwarding import CallerLeftError, Forwarder, Reply
+from catkinhook.hoststate import HostState
+from catkinhook.listening import PARSED
+from catkinhook.platform import names
+from catkinhook.platform.upstream import RequestUpstream
+from catkinhook.routes import Route, RouteTable
+from catkinhook.work import DEFAULT_OUTPUT_TOKENS, Work
+
+STEP = "front"
+# Used for a caller that tells no deadline, and as a bound on what callers tell.
+MAX_DEADLINE_S = 120.0
+# Requests that end this close to the end of a stop would be cut off.
+STOP_MARGIN_S = 0.4
+
+
+@attrs.frozen(kw_only=True)
+class _Inbound:
+    """What a caller sent.
+
+    :ivar target: path and query as they came.
+    :ivar value_by_name: last value of each header by its name in lower case.
+    """
+
+    method: str
+    target: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    value_by_name: dict[str, str]
+    body: bytes
+    arrived: float
+
+
+class FrontApplication:
+    """WSGI application of one host.
+
+    :param find_table: returns the configuration in force, None before the first.
+    :param connections: connections to endpoints.
+    """
+
+    def __init__(
+        self,
+        find_table: Callable[[], RouteTable | None],
+        forwarder: Forwarder,
+        connections: Connections,
+        state: HostState,
+        rng: random.Random,
+    ) -> None:
+        self._find_table = find_table
+        self._forwarder = forwarder
+        self._connections = connections
+        self._state = state
+        self._rng = rng
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Serve one request."""
+        arrived = time.monotonic()
+        if not self._state.begin_request():
+            return self._refuse(_busy("the host is at its limit of requests"), start_response)
+        try:
+            result = self._handle(environ, arrived)
+        except Refusal as refusal:
+            result = refusal
+        except CallerLeftError:
+            self._state.end_request()
+            raise
+        except Exception as error:
+            self._state.note_fault(error)
+            # The fault may have come after bytes left, so nothing is known about the run.
+            result = Refusal(STEP, "", "the host failed", "internal", 500, Ran.UNKNOWN)
+        if isinstance(result, Refusal):
+            self._state.end_request()
+            return self._refuse(result, start_response)
+        self._answer(result, start_response)
+        return _Body(result, self._state.end_request)
+
+    def _handle(self, environ: dict, arrived: float) -> Reply | Refusal:
+        inbound = _read_inbound(environ, arrived)
+        table = self._find_table()
+        if table is None:
+            raise _busy("no configuration is known yet")
+        host = inbound.value_by_name.get("host", "").partition(":")[0]
+        route = table.match(host, inbound.path)
+        if route is None:
+            reason = f"no route of configuration {table.version} matches"
+            raise Refusal(STEP, "", reason, "unknown-route", 404, Ran.NO)
+        request_id = inbound.value_by_name.get(names.REQUEST_ID.lower(), "")
+        if not request_id:
+            reason = f"the header {names.REQUEST_ID} is missing"
+            raise Refusal(STEP, "", reason, "bad-request", 400, Ran.NO)
+        work = self._make_work(inbound, route, request_id, table.version)
+        if not self._state.may_begin(work.deadline):
+            raise _busy("the host is stopping")
+        upstream = RequestUpstream(
+            self._connections,
+            request_id,
+            inbound.method,
+            inbound.target,
+            _forwarded_headers(inbound.headers),
+            inbound.body,
+            work.is_repeatable,
+        )
+        has_left = environ.get("waitress.client_disconnected")
+        return self._forwarder.run(work, upstream, has_left, _read_last_event(inbound))
+
+    def _make_work(self, inbound: _Inbound, route: Route, request_id: str, version: int) -> Work:
+        value = inbound.value_by_name.get
+        item = value(names.MODEL.lower(), "")
+        prompt, output = _read_tokens(value(names.TOKENS.lower(), ""))
+        deadline = _read_seconds(value(names.DEADLINE_MS.lower(), ""))
+        service = route.choose_service(self._rng)
+        digest = xxhash.xxh64_hexdigest
+        identity = "\n".join((inbound.method, inbound.target, item))
+        return Work(
+            request_id=request_id,
+            service=service,
+            route=route,
+            configuration=version,
+            arrived=inbound.arrived,
+            deadline=inbound.arrived + min(deadline, route.timeout_s),
+            item=item,
+            prompt_tokens=prompt,
+            output_tokens=output if item else 0,
+            prefixes=_read_prefixes(item, value(names.PROMPT_PARTS.lower(), "")),
+            fingerprint=digest(identity.encode("latin-1", "replace") + b"\n" + inbound.body),
+        )
+
+    def _answer(self, reply: Reply, start_response: Callable) -> None:
+        headers = list(reply.headers)
+        if reply.length is not None:
+            headers.append(("Content-Length", str(reply.length)))
+        start_response(_status_line(reply.status), headers)
+
+    def _refuse(self, refusal: Refusal, start_response: Callable) -> Iterable[bytes]:
+        body = render_problem(refusal)
+        headers = [("Content-Type", PROBLEM_CONTENT_TYPE), ("Content-Length", str(len(body)))]
+        if refusal.status == 503:
+            headers.append((names.RETRY_AFTER, f"{refusal.retry_after_s:.2f}"))
+        start_response(_status_line(refusal.status), headers)
+        return [body]
+
+
+class _Body:
+    """Body of an answer, which ends its request when waitress closes it."""
+
+    def __init__(self, reply: Reply, end_request: Callable[[], None]) -> None:
+        self._reply = reply
+        self._end_request = end_request
+
+    def __iter__(self) -> Iterable[bytes]:
+        return self._reply.body
+
+    def close(self) -> None:
+        try:
+            close = getattr(self._reply.body, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self._end_request()
+
+
+class ReadyApplication:
+    """WSGI application of the readiness check and the metrics.
+
+    :param render_metrics: returns all metrics in the text format.
+    """
+
+    def __init__(self, state: HostState, render_metrics: Callable[[], bytes]) -> None:
+        self._state = state
+        self._render_metrics = render_metrics
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one check."""
+        if environ["PATH_INFO"] == "/metrics":
+            body = self._render_metrics()
+            start_response("200 OK", [("Content-Length", str(len(body)))])
+            return [body]
+        reason = self._state.explain_unready()
+        body = json.dumps({"ready": not reason, "reason": reason}).encode()
+        status = _status_line(503 if reason else 200)
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        start_response(status, headers)
+        return [body]
+
+
+def _read_inbound(environ: dict, arrived: float) -> _Inbound:
+    parsed = environ[PARSED]
+    lines = parsed.header_lines
+    target = parsed.request_uri
+    return _Inbound(
+        method=environ["REQUEST_METHOD"],
+        target=target,
+        path=target.partition("?")[0],
+        headers=lines,
+        value_by_name={name.lower(): value for name, value in lines},
+        body=environ["wsgi.input"].read(),
+        arrived=arrived,
+    )
+
+
+def _forwarded_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
+    """Return the headers for endpoints: those of the connection and of the system are left out."""
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    dropped = names.OWN_HEADERS | names.HOP_HEADERS | named | {names.LAST_EVENT_ID.lower()}
+    return tuple((name, value) for name, value in headers if name.lower() not in dropped)
+
+
+def _read_last_event(inbound: _Inbound) -> int | None:
+    text = inbound.value_by_name.get(names.LAST_EVENT_ID.lower(), "")
+    return int(text) if text.isdigit() else None
+
+
+def _read_tokens(text: str) -> tuple[int, int]:
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) != 2 or not all(part.isdigit() and len(part) < 10 for part in parts):
+        return 0, DEFAULT_OUTPUT_TOKENS
+    return int(parts[0]), int(parts[1])
+
+
+def _read_seconds(text: str) -> float:
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        return MAX_DEADLINE_S
+    return min(MAX_DEADLINE_S, max(0.0, seconds)) if seconds == seconds else MAX_DEADLINE_S
+
+
+def _read_prefixes(item: str, text: str) -> tuple[str, ...]:
+    """Return hashes of the prompt's shared parts, each with all parts before it."""
+    parts = [part.partition(":")[0].strip() for part in text.split(",") if part.strip()]
+    found = []
+    chain = item
+    # The last part belongs to the request itself or to its session.
+    for part in parts:
+        chain = f"{chain}|{part}"
+        found.append(xxhash.xxh64_hexdigest(chain.encode("latin-1", "replace")))
+    return tuple(found)
+
+
+def _busy(reason: str) -> Refusal:
+    return Refusal(STEP, "", reason, "busy", 503, Ran.NO, 0.2)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/catkinhook/platform/store.py
@@ -0,0 +1,199 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+import json
+import socket
+from typing import Any
+
+import urllib3
+from result import Err, Ok, Result
+
+from catkinhook.errors import Effect, StoreConflict, StoreError
+from catkinhook.feeds import Changes, VersionedRow
+
+STEP = "store"
+# An answer takes about 4 ms; the store counts as away when one takes this long.
+CALL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+# Unanswered bytes end a connection that went silent without a reset.
+USER_TIMEOUT_MS = 1500
+MAX_ANSWER_BYTES = 4 << 20
+# Rows of one answer, the most that the store returns.
+PAGE_ROWS = 500
+
+_OK, _CONFLICT, _HISTORY_LOST = 200, 412, 410
+# The store answers these before it does anything.
+_NOTHING_DONE = frozenset({400, 403, 404, 410, 429, 503, 507})
+
+_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+]
+
+
+class StoreClient:
+    """Connections to the store; safe for use by many threads.
+
+    :param address: ``IP:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        host, _, port = address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=4, retries=False, socket_options=_OPTIONS
+        )
+
+    def start(self) -> None:
+        """Do nothing; connections are opened on first use."""
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
+
+    def call(
+        self, method: str, path: str, fields: dict[str, Any], wait_s: float = 0.0
+    ) -> Result[tuple[int, dict], StoreError]:
+        """Make one call, which is never repeated here.
+
+        :param fields: query of a GET, otherwise the body.
+        :param wait_s: seconds for which the store may hold the call, on top of the timeout.
+        :returns: status and body of an answer that the store itself gave.
+        """
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=CALL_TIMEOUT_S + wait_s)
+        try:
+            if method == "GET":
+                answer = self._pool.request(method, path, fields=fields, timeout=timeout)
+            else:
+                answer = self._pool.request(method, path, json=fields, timeout=timeout)
+            body = answer.json() if answer.data else {}
+        except urllib3.exceptions.NewConnectionError as error:
+            return Err(self._error(str(error), Effect.NONE))
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            return Err(self._error(f"{method} {path} failed: {error}", Effect.UNKNOWN))
+        if answer.status in _NOTHING_DONE and answer.status != _HISTORY_LOST:
+            reason = f"{method} {path} was answered with {answer.status}"
+            return Err(self._error(reason, Effect.NONE))
+        if answer.status not in (_OK, _CONFLICT, _HISTORY_LOST) or not isinstance(body, dict):
+            reason = f"{method} {path} was answered with {answer.status}"
+            return Err(self._error(reason, Effect.UNKNOWN))
+        return Ok((answer.status, body))
+
+    def _error(self, reason: str, effect: Effect) -> StoreError:
+        return StoreError(STEP, self._address, reason, effect)
+
+
+class TableFeed:
+    """Feed of one table whose rows all have an empty part."""
+
+    def __init__(self, client: StoreClient, table: str) -> None:
+        self._client = client
+        self._table = table
+
+    def follow(self, after: int | None, wait_s: float) -> Result[Changes, StoreError]:
+        """Return what changed after a version, or the whole table."""
+        if after is None:
+            return self._list()
+        fields = {"table": self._table, "after": after, "wait_ms": int(wait_s * 1000)}
+        called = self._client.call("GET", "/rows-feed", fields, wait_s)
+        if called.is_err():
+            return called
+        status, body = called.unwrap()
+        return self._list() if status == _HISTORY_LOST else _read_changes(body, False)
+
+    def _list(self) -> Result[Changes, StoreError]:
+        value_by_key: dict[str, bytes] = {}
+        version: int | None = None
+        start = ""
+        while True:
+            fields = {"table": self._table, "part": "", "limit": PAGE_ROWS}
+            if start:
+                fields["from"] = start
+            called = self._client.call("GET", "/rows-get", fields)
+            if called.is_err():
+                return called
+            body = called.unwrap()[1]
+            page = _read_changes(body, True)
+            if page.is_err():
+                return page
+            changes = page.unwrap()
+            value_by_key |= changes.value_by_key
+            # Pages are of different moments; what changed after the first is read again.
+            version = changes.version if version is None else version
+            if not body.get("more_pages") or not changes.value_by_key:
+                return Ok(Changes(version, value_by_key, whole=True))
+            # The next key in byte order.
+            start = max(changes.value_by_key) + "\0"
+
+
+class TableRow:
+    """A row of the system's own table, written under a condition."""
+
+    def __init__(self, client: StoreClient, table: str, key: str) -> None:
+        self._client = client
+        self._name = {"table": table, "part": "", "key": key}
+
+    def read(self) -> Result[VersionedRow, StoreError]:
+        """Return the row, with version 0 if there is none."""
+        fields = {"table": self._name["table"], "part": "", "from": self._name["key"], "limit": 1}
+        called = self._client.call("GET", "/rows-get", fields)
+        return called.and_then(lambda answer: Ok(self._find(answer[1])))
+
+    def write(self, expected: int, value: bytes) -> Result[int, StoreConflict | StoreError]:
+        """Write the row if it still has a version; return its new version."""
+        encoded = base64.b64encode(value).decode()
+        fields = {
+            "expected": [{**self._name, "ver": expected}],
+            "writes": [{**self._name, "value": encoded}],
+            "remove": [],
+        }
+        called = self._client.call("POST", "/rows-tx", fields)
+        if called.is_err():
+            return called
+        status, body = called.unwrap()
+        if status == _CONFLICT:
+            current = self._find(body).version
+            key = (self._name["table"], self._name["key"])
+            reason = f"the row has version {current} instead of {expected}"
+            return Err(StoreConflict(STEP, "", reason, {key: current}))
+        version = body.get("ver")
+        if not isinstance(version, int):
+            return Err(StoreError(STEP, "", "the answer has no version", Effect.UNKNOWN))
+        return Ok(version)
+
+    def _find(self, body: dict) -> VersionedRow:
+        for row in body.get("rows") or ():
+            if isinstance(row, dict) and row.get("key") == self._name["key"]:
+                value, version = _decode_value(row), row.get("ver")
+                if isinstance(version, int) and version > 0:
+                    return VersionedRow(version, value if value is not None else b"")
+        return VersionedRow(0, b"")
+
+
+def _read_changes(body: dict, whole: bool) -> Result[Changes, StoreError]:
+    version, rows = body.get("ver"), body.get("rows")
+    if not isinstance(version, int) or not isinstance(rows, list):
+        return Err(StoreError(STEP, "", f"an answer without rows: {json.dumps(body)[:200]}"))
+    value_by_key: dict[str, bytes] = {}
+    removed: set[str] = set()
+    for row in rows:
+        key = row.get("key") if isinstance(row, dict) else None
+        if not isinstance(key, str):
+            continue
+        value = _decode_value(row)
+        # The rows are in the order of their changes, so that the last one counts.
+        if row.get("tombstone"):
+            value_by_key.pop(key, None)
+            removed.add(key)
+        else:
+            removed.discard(key)
+            value_by_key[key] = value if value is not None else b""
+    return Ok(Changes(version, value_by_key, frozenset(removed), whole))
+
+
+def _decode_value(row: dict) -> bytes | None:
+    try:
+        return base64.b64decode(row.get("value") or "", validate=True)
+    except (binascii.Error, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/catkinhook/platform/upstream.py
@@ -0,0 +1,288 @@
+"""One caller's request at the platform's endpoints."""
+
+import http.client
+import time
+
+from catkinhook.attempts import (
+    CONNECTION_ERRORS,
+    AttemptError,
+    AttemptLimits,
+    Connections,
+    CountingConnection,
+)
+from catkinhook.chunks import ChunkDecoder, ChunkError
+from catkinhook.errors import Ran
+from catkinhook.inflight import Outcome
+from catkinhook.platform import names
+from catkinhook.work import Placed
+
+STEP = "upstream"
+CONNECT_TIMEOUT_S = 0.5
+READ_BYTES = 64 << 10
+# Kept connections are left alone for this long before the endpoint would close them.
+IDLE_MARGIN_S = 1.0
+DEFAULT_IDLE_S = 4.0
+
+_MISDIRECTED = 421
+_BODILESS = frozenset({204, 304})
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class RequestUpstream:
+    """Sends one request to chosen endpoints.
+
+    :param target: path and query as the caller sent them.
+    :param headers: headers that are passed on, ``Host`` included.
+    :param is_repeatable: whether the request may run twice. One that may not is sent on a new
+        connection, since an endpoint may just be closing a kept one.
+    """
+
+    def __init__(
+        self,
+        connections: Connections,
+        request_id: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        is_repeatable: bool,
+    ) -> None:
+        self._connections = connections
+        self._request_id = request_id
+        self._method = method
+        self._target = target
+        self._headers = headers
+        self._body = body
+        self._is_repeatable = is_repeatable
+        self._answer: EndpointAnswer | None = None
+        self._is_aborted = False
+
+    def open(
+        self, placed: Placed, time_left_s: float, timeout_s: float, last_event: int | None
+    ) -> "EndpointAnswer":
+        """Send the request and read the head of the answer.
+
+        :raises AttemptError: if no answer of this attempt came.
+        """
+        headers = [
+            *self._headers,
+            (names.DEADLINE_MS, str(max(1, int(time_left_s * 1000)))),
+            (names.EXPECT_INSTANCE, placed.endpoint.endpoint),
+        ]
+        if placed.endpoint.kind == "engine":
+            headers.append((names.PRIORITY, str(placed.priority)))
+        if last_event is not None:
+            headers.append((names.LAST_EVENT_ID, str(last_event)))
+        if self._body or self._method in ("POST", "PUT", "PATCH"):
+            headers.append(("Content-Length", str(len(self._body))))
+        answer = EndpointAnswer(self._connections, placed, self._request_id)
+        self._answer = answer
+        if self._is_aborted:
+            answer.abort()
+        answer.send(
+            self._method, self._target, headers, self._body, timeout_s, not self._is_repeatable
+        )
+        return answer
+
+    def abort(self) -> None:
+        """Break off an ``open`` from another thread."""
+        self._is_aborted = True
+        answer = self._answer
+        if answer is not None:
+            answer.abort()
+
+
+class EndpointAnswer:
+    """An endpoint's answer; used by one thread, except for ``abort``."""
+
+    def __init__(self, connections: Connections, placed: Placed, request_id: str) -> None:
+        self._connections = connections
+        self._endpoint = placed.endpoint
+        self._request_id = request_id
+        self._connection: CountingConnection | None = None
+        self._response: http.client.HTTPResponse | None = None
+        self._chunks: ChunkDecoder | None = None
+        self._left: int | None = None
+        self._is_ended = False
+        self._is_aborted = False
+        self.status = 0
+        self.headers: Headers = ()
+        self.load: tuple[int, int] | None = None
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        timeout_s: float,
+        fresh: bool,
+    ) -> None:
+        """Send the request and read the head.
+
+        :raises AttemptError: if no answer of this attempt came.
+        """
+        limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
+        try:
+            connection = self._connections.take(self._endpoint.address, limits, fresh)
+        except CONNECTION_ERRORS as error:
+            is_refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            outcome = Outcome.CRASHED if is_refused else Outcome.NOT_RUN
+            raise self._error(f"can't be reached: {error}", Ran.NO, outcome) from error
+        self._connection = connection
+        if self._is_aborted:
+            raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
+        try:
+            self._response = connection.send_raw(method, target, headers, body)
+        except CONNECTION_ERRORS as error:
+            ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
+            is_silent = isinstance(error, TimeoutError)
+            outcome = Outcome.BROKEN if is_silent or ran is Ran.NO else Outcome.CRASHED
+            raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
+        self._read_head()
+
+    def _read_head(self) -> None:
+        response = self._response
+        get = response.headers.get
+        self.status = response.status
+        self.load = _read_load(get(names.LOAD, ""))
+        if get(names.NOT_RUN) is not None:
+            self._refused(f"answered {self.status} without running the request")
+        if self.status == _MISDIRECTED:
+            is_other = get(names.INSTANCE, self._endpoint.endpoint) != self._endpoint.endpoint
+            reason = "is another instance now" if is_other else "does not have the item"
+            self._refused(reason, "" if is_other else "absent")
+        if get(names.REQUEST_ID) != self._request_id:
+            raise self._error("sent the answer of another request", fault="crossed")
+        if get(names.SIGNATURE) is None and self.status < 300:
+            raise self._error("sent an answer without a signature", fault="unsigned")
+        if get("Content-Encoding") is not None:
+            raise self._error("sent an encoded answer", fault="encoded")
+        self.headers = tuple(
+            (name, value)
+            for name, value in response.headers.items()
+            if name.lower() not in names.HOP_HEADERS
+        )
+        if get("Transfer-Encoding", "").lower() == "chunked":
+            self._chunks = ChunkDecoder()
+        elif self.status in _BODILESS:
+            self._is_ended = True
+        elif (length := get("Content-Length")) is not None:
+            if not length.isdigit():
+                raise self._error("sent an answer of unknown length", fault="unframed")
+            self._left = int(length)
+            self._is_ended = self._left == 0
+
+    def _refused(self, reason: str, fault: str = "") -> None:
+        self._drain()
+        raise self._error(reason, Ran.NO, Outcome.NOT_RUN, self.status, fault)
+
+    def _drain(self) -> None:
+        """Read a short answer that is of no use, so that its connection can be kept."""
+        try:
+            if self._response.read() is not None and self._response.will_close:
+                return
+        except CONNECTION_ERRORS:
+            return
+        self._keep()
+
+    def read(self, timeout_s: float) -> bytes:
+        """Return the next bytes, empty at the marked end.
+
+        :raises AttemptError: if it broke off, or nothing came in time.
+        """
+        while not self._is_ended:
+            data = self._read_some(timeout_s)
+            if data or self._is_ended:
+                return data
+        return b""
+
+    def _read_some(self, timeout_s: float) -> bytes:
+        try:
+            sock = self._connection.sock
+            if sock is None:
+                raise ConnectionAbortedError("the connection was closed")
+            sock.settimeout(max(0.001, timeout_s))
+            size = READ_BYTES if self._left is None else min(READ_BYTES, self._left)
+            data = self._response.fp.read1(size)
+            if self._is_aborted:
+                raise ConnectionAbortedError("the caller left")
+            if self._chunks is not None:
+                if not data:
+                    raise ConnectionResetError("it ended before its last chunk")
+                data = self._chunks.feed(data)
+                self._is_ended = self._chunks.ended
+            elif self._left is not None:
+                if not data:
+                    raise ConnectionResetError(f"it ended {self._left} bytes early")
+                self._left -= len(data)
+                self._is_ended = self._left == 0
+            else:
+                # Without a length, the end of the connection ends the answer; a reset raises.
+                self._is_ended = not data
+        except TimeoutError as error:
+            raise self._error(f"was silent for {timeout_s:.2f} s") from error
+        except (ChunkError, *CONNECTION_ERRORS) as error:
+            outcome = Outcome.CANCELLED if self._is_aborted else Outcome.CRASHED
+            raise self._error(f"broke off its answer: {error!r}", outcome=outcome) from error
+        return data
+
+    def finish(self) -> None:
+        """Keep the connection for other requests if the answer was read to its end."""
+        framed = self._chunks is not None or self._left is not None
+        if self._is_ended and framed and not self._response.will_close and not self._is_aborted:
+            self._keep()
+        else:
+            self.close()
+
+    def _keep(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is None or connection.sock is None:
+            return
+        keep_alive = self._response.headers.get("Keep-Alive", "")
+        connection.idle_limit = _read_idle_limit(keep_alive)
+        # http.client sends no other request until its response object is closed.
+        self._response.close()
+        connection.idle_since = time.monotonic()
+        self._connections.give(self._endpoint.address, connection)
+
+    def close(self) -> None:
+        """Close the connection, which stops the work of the endpoint."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+    def abort(self) -> None:
+        """Break the connection from another thread, so that a blocked read returns."""
+        self._is_aborted = True
+        connection = self._connection
+        if connection is not None:
+            connection.shut_down()
+
+    def _error(
+        self,
+        reason: str,
+        ran: Ran = Ran.UNKNOWN,
+        outcome: Outcome = Outcome.BROKEN,
+        status: int = 0,
+        fault: str = "",
+    ) -> AttemptError:
+        self.close()
+        peer = f"{self._endpoint.endpoint} at {self._endpoint.address}"
+        return AttemptError(STEP, peer, f"endpoint {reason}", ran, status, outcome, fault)
+
+
+def _read_load(text: str) -> tuple[int, int] | None:
+    parts = text.split(",")
+    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
+        return None
+    return int(parts[0]), int(parts[1])
+
+
+def _read_idle_limit(text: str) -> float:
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return max(0.0, int(value) - IDLE_MARGIN_S)
+    return DEFAULT_IDLE_S
--- /dev/null
+++ b/catkinhook/provisioning.py
@@ -0,0 +1,598 @@
+"""Decisions of the host that holds the lease for orders: which engine loads or drops what.
+
+An engine carries out one order for a model at a time, and takes an order only as its next one
+(``SequencedOrder.expected``). An order whose answer was lost therefore can't be carried out after a
+later one, and the memory that was counted for an order is the memory at which it is carried out.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from catkinhook.enginestates import EngineState, OrderReply, SequencedOrder
+from catkinhook.hostsettings import Bounds
+from catkinhook.routes import EngineSpec, ModelSpec, RouteTable
+from catkinhook.views import EndpointView
+
+# Seconds after the expected end of a load at which the item is taken to be there.
+LOAD_MARGIN_S = 0.05
+# Time for an adapter to arrive: a base and a part for each MB. Source: the platform's sheets give
+# 6.3 ms for 12 MB and 19 ms for 66 MB.
+ADAPTER_BASE_S = 0.008
+ADAPTER_S_PER_MB = 0.0003
+# Adapters that one engine may be loading at once, as the platform's page on engines says.
+MAX_INCOMING = 4
+# A model stays for this long after it was loaded, so that those who wait for it are served.
+MIN_RESIDENCE_S = 2.0
+# An adapter that was used this recently is not dropped for another one.
+ADAPTER_REST_S = 0.3
+# Share of an engine's slots in use at which its model gets another copy.
+CROWDED_SHARE = 0.5
+# Requests a second at which a model should have a second copy, in case its engine is lost.
+SPARE_COPY_RATE = 1.0
+# Requests of one adapter in progress on one engine at which another engine should have it too.
+ADAPTER_CROWD = 12
+# Seconds for which a need is reckoned to last, to weigh it against the loss of another model.
+HORIZON_S = 5.0
+# A model is moved only for a gain of this many requests.
+MIN_GAIN = 0.3
+# Reports are as of up to this many seconds before they are read.
+REPORT_LAG_S = 0.35
+# Seconds between reports of an engine that has nothing to do, and while it carries out an order.
+IDLE_REPORT_S = 2.5
+BUSY_REPORT_S = 0.2
+# Orders with a lost answer are settled by a report that is this much younger.
+LOST_SETTLE_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class Demand:
+    """Demand for one item over all hosts.
+
+    :ivar rate: requests a second.
+    :ivar unmet: requests a second that were refused for want of it.
+    """
+
+    rate: float = 0.0
+    unmet: float = 0.0
+    waiting: int = 0
+    running: int = 0
+
+    def plus(self, other: "Demand") -> "Demand":
+        """Return the sum."""
+        return Demand(
+            rate=self.rate + other.rate,
+            unmet=self.unmet + other.unmet,
+            waiting=self.waiting + other.waiting,
+            running=self.running + other.running,
+        )
+
+
+NO_DEMAND = Demand()
+
+
+@attrs.frozen(kw_only=True)
+class Command:
+    """An order to send to an endpoint now."""
+
+    view: EndpointView
+    order: SequencedOrder
+
+
+@attrs.define
+class _OpenOrder:
+    order: SequencedOrder
+    sent_at: float
+    done_at: float
+
+
+@attrs.define
+class Book:
+    """What is known of one engine.
+
+    :ivar adapters: adapters by model; a model without an entry is not resident.
+    :ivar incoming: time at which an adapter is expected, as ``model/adapter``.
+    :ivar open_order: order for a model that is carried out.
+    :ivar sending: order whose answer has not arrived.
+    :ivar settle_at: a report from after this time tells what became of a lost answer.
+    """
+
+    view: EndpointView
+    sequence: int = -1
+    adapters: dict[str, set[str]] = attrs.Factory(dict)
+    incoming: dict[str, float] = attrs.Factory(dict)
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    open_order: _OpenOrder | None = None
+    sending: SequencedOrder | None = None
+    settle_at: float | None = None
+    reported_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    loaded_at: dict[str, float] = attrs.Factory(dict)
+    used_at: dict[str, float] = attrs.Factory(dict)
+    running: int = 0
+
+    @property
+    def is_free(self) -> bool:
+        """Whether another order may be sent."""
+        return (
+            self.sequence >= 0
+            and self.sending is None
+            and self.open_order is None
+            and self.settle_at is None
+            and not self.view.leaving
+        )
+
+    def held_adapters(self) -> set[str]:
+        """Return the adapters that are there, as ``model/adapter``."""
+        return {f"{model}/{name}" for model, names in self.adapters.items() for name in names}
+
+    def usable_models(self) -> frozenset[str]:
+        """Return the models that requests may be sent to."""
+        dropped = {
+            order.model
+            for order in (self.sending, self.open_order.order if self.open_order else None)
+            if order is not None and not order.is_load and not order.adapter
+        }
+        return frozenset(self.adapters) - dropped
+
+    def memory_mb(self, spec: EngineSpec) -> float:
+        """Return the memory in use when all that is on its way has arrived."""
+        models = set(self.adapters) | {item.partition("/")[0] for item in self.incoming}
+        if self.open_order is not None and self.open_order.order.is_load:
+            models.add(self.open_order.order.model)
+        total = 0.0
+        for name in models:
+            model = spec.model_by_name.get(name)
+            # The size of a model that the configuration doesn't name any more isn't known.
+            total += model.memory_mb if model else spec.memory_mb
+        for item in self.held_adapters() | set(self.incoming):
+            model = spec.model_by_name.get(item.partition("/")[0])
+            total += model.adapter_mb if model else 0.0
+        return total
+
+    def load_seconds(self, model: ModelSpec) -> float:
+        """Return the seconds that a load of a model takes here."""
+        if model.name in self.in_memory:
+            return model.memory_load_s
+        return model.disk_load_s if model.name in self.on_disk else model.load_s
+
+
+class Provisioner:
+    """State of all engines and the orders to them; one actor calls it.
+
+    :param node: name of this host, sent with each order.
+    """
+
+    def __init__(self, node: str, bounds: Bounds) -> None:
+        self._node = node
+        self._bounds = bounds
+        self._table: RouteTable | None = None
+        self._books: dict[str, Book] = {}
+        self._demand: dict[tuple[str, str], Demand] = {}
+        self._store_loads: deque[float] = deque()
+        self._expected: dict[tuple[str, str], float] = {}
+        self._fence = 0
+        self._begun_at = 0.0
+
+    # What is known.
+
+    def begin(self, fence: int, now: float) -> None:
+        """Begin to give orders under a fencing token; every engine is asked for its state."""
+        self._fence = fence
+        self._begun_at = now
+        # The holder before may have used up the weight store's rate.
+        window = self._bounds.load_window_s
+        self._store_loads = deque([now] * int(window / 2))
+        self._books = {endpoint: Book(book.view) for endpoint, book in self._books.items()}
+
+    def set_table(self, table: RouteTable) -> None:
+        """Take over a newer configuration."""
+        self._table = table
+
+    def set_endpoints(self, views: Iterable[EndpointView], now: float) -> None:
+        """Take over the engines and what their entries say."""
+        by_id = {view.endpoint: view for view in views if view.kind == "engine"}
+        for endpoint in set(self._books) - set(by_id):
+            del self._books[endpoint]
+        for endpoint, view in by_id.items():
+            book = self._books.get(endpoint)
+            if book is None or book.view.boot_id != view.boot_id:
+                self._books[endpoint] = Book(view)
+                continue
+            book.view = view
+            if view.in_memory or view.on_disk:
+                book.in_memory, book.on_disk = view.in_memory, view.on_disk
+
+    def set_demand(self, demand: dict[tuple[str, str], Demand], now: float) -> None:
+        """Take over the demand of all hosts."""
+        self._demand = demand
+        for (_, item), wanted in demand.items():
+            if not wanted.running and not wanted.waiting:
+                continue
+            for book in self._books.values():
+                book.used_at[item] = now
+
+    def set_running(self, running_by_id: dict[str, int]) -> None:
+        """Take over the requests of all hosts in progress by endpoint."""
+        for endpoint, book in self._books.items():
+            book.running = running_by_id.get(endpoint, 0)
+
+    def note_state(self, endpoint: str, state: EngineState | None, asked_at: float) -> None:
+        """Take over an engine's report.
+
+        :param state: None when it did not answer.
+        :param asked_at: time at which it was asked.
+        """
+        book = self._books.get(endpoint)
+        if book is None or state is None:
+            return
+        if state.boot_id != book.view.boot_id:
+            # The entry of the restarted engine has not arrived yet.
+            book.sequence = -1
+            return
+        book.reported_at = asked_at
+        if state.sequence < book.sequence:
+            return
+        if state.in_memory or state.on_disk:
+            book.in_memory, book.on_disk = state.in_memory, state.on_disk
+        is_settled = book.settle_at is not None and asked_at >= book.settle_at
+        if state.sequence > book.sequence or is_settled:
+            self._adopt(book, state, asked_at)
+        elif book.settle_at is None and book.sending is None:
+            self._confirm(book, state, asked_at)
+
+    def _adopt(self, book: Book, state: EngineState, now: float) -> None:
+        """Take over all that a report says, for want of knowledge of the orders behind it."""
+        book.sequence = state.sequence
+        book.settle_at = None
+        book.adapters = _group(state)
+        book.incoming = dict.fromkeys(state.incoming, now + REPORT_LAG_S)
+        book.open_order = None
+        if state.busy:
+            # Whatever it does is over when a report says so.
+            nothing = SequencedOrder(is_load=False, model="", expected=0, holder="", fence=0)
+            book.open_order = _OpenOrder(nothing, now, float("inf"))
+
+    def _confirm(self, book: Book, state: EngineState, asked_at: float) -> None:
+        """Compare a report of the same number of orders with what is expected."""
+        order = book.open_order
+        if order is None:
+            if asked_at >= max(book.loaded_at.values(), default=0.0) + REPORT_LAG_S:
+                current = {i: at for i, at in book.incoming.items() if at > asked_at}
+                book.incoming = current
+                book.adapters = _group(state)
+            return
+        if state.busy or asked_at < order.sent_at + REPORT_LAG_S:
+            return
+        book.open_order = None
+        book.adapters = _group(state)
+        book.incoming = dict.fromkeys(state.incoming, asked_at)
+        book.loaded_at[order.order.model] = asked_at
+
+    def note_reply(
+        self, endpoint: str, order: SequencedOrder, reply: OrderReply | None, now: float
+    ) -> bool:
+        """Take over the answer to an order.
+
+        :param reply: None when the answer was lost.
+        :returns: false when another holder was seen.
+        """
+        book = self._books.get(endpoint)
+        if book is None or book.sending is not order:
+            return True
+        book.sending = None
+        if reply is OrderReply.ACCEPTED or (reply is OrderReply.HOLDS and not order.is_load):
+            self._accept(book, order, reply, now)
+        elif reply is not OrderReply.HOLDS:
+            # Only a report can tell the number of orders, and what was carried out.
+            book.settle_at = now + (LOST_SETTLE_S if reply is None else 0.0)
+        elif order.adapter:
+            book.adapters.setdefault(order.model, set()).add(order.adapter)
+        return reply is not OrderReply.FENCED
+
+    def _accept(self, book: Book, order: SequencedOrder, reply: OrderReply, now: float) -> None:
+        book.sequence = order.expected + 1
+        model = self._find_model(book, order.model)
+        if order.adapter:
+            item = f"{order.model}/{order.adapter}"
+            if order.is_load:
+                size = model.adapter_mb if model else 0.0
+                book.incoming[item] = now + ADAPTER_BASE_S + ADAPTER_S_PER_MB * size
+                book.loaded_at[item] = now
+            else:
+                book.adapters.get(order.model, set()).discard(order.adapter)
+                book.loaded_at.pop(item, None)
+        elif order.is_load:
+            seconds = book.load_seconds(model) if model else 0.0
+            book.open_order = _OpenOrder(order, now, now + seconds + LOAD_MARGIN_S)
+        elif reply is OrderReply.HOLDS:
+            book.adapters.pop(order.model, None)
+        else:
+            book.open_order = _OpenOrder(order, now, float("inf"))
+
+    # What is decided.
+
+    def plan(self, now: float) -> list[Command]:
+        """Return the orders to send now."""
+        self._expected = {}
+        self._advance(now)
+        if self._table is None:
+            return []
+        commands: list[Command] = []
+        for service in self._table.service_by_name.values():
+            if service.engine is not None:
+                books = [b for b in self._books.values() if b.view.service == service.name]
+                commands += self._plan_models(service.name, service.engine, books, now)
+                commands += self._plan_adapters(service.name, service.engine, books, now)
+        return commands
+
+    def due_reports(self, now: float) -> list[EndpointView]:
+        """Return the engines that should be asked for a report now."""
+        due = []
+        for book in self._books.values():
+            if now - book.asked_at < self._report_interval(book, now):
+                continue
+            if book.settle_at is None or now >= book.settle_at:
+                book.asked_at = now
+                due.append(book.view)
+        return due
+
+    def holdings(self) -> list[Book]:
+        """Return the engines whose state is known."""
+        return [book for book in self._books.values() if book.sequence >= 0]
+
+    def expected(self, now: float) -> dict[tuple[str, str], float]:
+        """Return the seconds until items that are missing will be available."""
+        return {item: max(0.0, at - now) for item, at in self._expected.items()}
+
+    def _report_interval(self, book: Book, now: float) -> float:
+        order = book.open_order
+        if book.sequence < 0 or book.settle_at is not None:
+            return BUSY_REPORT_S
+        if order is not None and (order.done_at == float("inf") or now >= order.done_at):
+            return BUSY_REPORT_S
+        return IDLE_REPORT_S
+
+    def _advance(self, now: float) -> None:
+        """Take as arrived what should have arrived by now."""
+        for book in self._books.values():
+            for item in [i for i, at in book.incoming.items() if at <= now]:
+                del book.incoming[item]
+                model, _, adapter = item.partition("/")
+                if model in book.adapters:
+                    book.adapters[model].add(adapter)
+            order = book.open_order
+            if order is not None and order.order.is_load and order.done_at <= now:
+                book.adapters.setdefault(order.order.model, set())
+                book.loaded_at[order.order.model] = now
+                book.open_order = None
+
+    def _plan_models(
+        self, service: str, spec: EngineSpec, books: list[Book], now: float
+    ) -> list[Command]:
+        commands = []
+        demand = self._model_demand(service)
+        for name, gain in self._needs(spec, books, demand):
+            model = spec.model_by_name[name]
+            is_missing = not _copies(books, name)
+            found = self._choose_engine(spec, books, demand, model, gain, now)
+            if found is None:
+                continue
+            book, victim, seconds = found
+            if is_missing:
+                for (owner, item), wanted in self._demand.items():
+                    is_of_model = owner == service and item.partition("/")[0] == name
+                    if is_of_model and (wanted.waiting or wanted.unmet):
+                        self._expected[owner, item] = now + seconds
+            if not book.is_free:
+                continue
+            if victim:
+                commands.append(self._send(book, False, victim, "", now))
+            elif self._may_load(book, model, spec, now):
+                commands.append(self._send(book, True, name, "", now))
+        self._expect_loading(service, books)
+        return commands
+
+    def _model_demand(self, service: str) -> dict[str, Demand]:
+        total: dict[str, Demand] = {}
+        for (owner, item), demand in self._demand.items():
+            if owner == service and item:
+                name = item.partition("/")[0]
+                total[name] = total.get(name, NO_DEMAND).plus(demand)
+        return total
+
+    def _needs(
+        self, spec: EngineSpec, books: list[Book], demand: dict[str, Demand]
+    ) -> list[tuple[str, float]]:
+        """Return the models that need a copy, with the requests it would serve, most first."""
+        needs = []
+        for name, wanted in demand.items():
+            if name not in spec.model_by_name:
+                continue
+            copies = _copies(books, name)
+            coming = [b for b in books if _is_loading(b, name) and not b.view.leaving]
+            if coming:
+                continue
+            lasting = wanted.waiting + HORIZON_S * max(wanted.rate, wanted.unmet)
+            if not copies:
+                if lasting > MIN_GAIN:
+                    needs.append((name, 10.0 + 10.0 * lasting))
+                continue
+            places = spec.slots * len(copies)
+            crowded = wanted.running + wanted.waiting - CROWDED_SHARE * places
+            if crowded > 0:
+                needs.append((name, crowded))
+            elif len(copies) == 1 and wanted.rate >= SPARE_COPY_RATE:
+                needs.append((name, 0.3 * wanted.rate * HORIZON_S))
+        return sorted(needs, key=lambda need: -need[1])
+
+    def _choose_engine(
+        self,
+        spec: EngineSpec,
+        books: list[Book],
+        demand: dict[str, Demand],
+        model: ModelSpec,
+        gain: float,
+        now: float,
+    ) -> tuple[Book, str, float] | None:
+        """Return the engine for a copy, the model to drop there first, and the seconds it takes."""
+        best: tuple[float, Book, str, float] | None = None
+        for book in books:
+            if book.view.leaving or book.sequence < 0 or model.name in book.adapters:
+                continue
+            if book.settle_at is not None or _is_loading(book, model.name):
+                continue
+            seconds = book.load_seconds(model)
+            order = book.open_order
+            if order is not None:
+                left = order.done_at - now
+                seconds += min(left, model.disk_load_s) if left != float("inf") else 0.5
+            victim, loss = "", 0.0
+            if book.memory_mb(spec) + model.memory_mb > spec.memory_mb:
+                found = self._choose_victim(spec, books, book, demand, now)
+                if found is None or found[1] + MIN_GAIN >= gain:
+                    continue
+                victim, loss = found
+            # A request that waits loses about as much in a second as a refused one in ten.
+            cost = seconds * (1.0 + 0.1 * gain) + loss + 0.02 * book.running
+            if best is None or cost < best[0]:
+                best = (cost, book, victim, seconds)
+        return None if best is None else best[1:]
+
+    def _choose_victim(
+        self,
+        spec: EngineSpec,
+        books: list[Book],
+        book: Book,
+        demand: dict[str, Demand],
+        now: float,
+    ) -> tuple[str, float] | None:
+        """Return the model whose copy is missed least, and the requests that its loss costs."""
+        best: tuple[str, float] | None = None
+        for name in book.usable_models():
+            if now - book.loaded_at.get(name, float("-inf")) < MIN_RESIDENCE_S:
+                continue
+            wanted = demand.get(name, NO_DEMAND)
+            copies = len(_copies(books, name))
+            if copies <= 1:
+                if wanted.waiting:
+                    continue
+                loss = 2.0 * HORIZON_S * wanted.rate + 2.0 * wanted.running
+            else:
+                # What runs here is finished first, and the other copies take what comes.
+                places = spec.slots * (copies - 1)
+                crowded = max(0.0, wanted.running + wanted.waiting - CROWDED_SHARE * places)
+                spare = 0.3 * HORIZON_S * wanted.rate if copies == 2 else 0.0
+                loss = crowded + spare + 0.3 * wanted.running / copies
+            if best is None or loss < best[1]:
+                best = (name, loss)
+        return best
+
+    def _expect_loading(self, service: str, books: list[Book]) -> None:
+        for book in books:
+            order = book.open_order
+            if order is None or not order.order.is_load or book.view.leaving:
+                continue
+            name = order.order.model
+            for owner, item in self._demand:
+                if owner == service and item.partition("/")[0] == name and not _copies(books, name):
+                    known = self._expected.get((owner, item), float("inf"))
+                    self._expected[owner, item] = min(known, order.done_at)
+
+    def _may_load(self, book: Book, model: ModelSpec, spec: EngineSpec, now: float) -> bool:
+        """Count a load against the weight store's rate, unless the engine has a copy."""
+        if model.name in book.in_memory or model.name in book.on_disk:
+            return True
+        window, loads = self._bounds.load_window_s, self._store_loads
+        while loads and loads[0] <= now - window - LOAD_MARGIN_S:
+            loads.popleft()
+        if len(loads) + 1 > spec.loads_per_s * window * self._bounds.load_overage:
+            return False
+        loads.append(now)
+        return True
+
+    def _plan_adapters(
+        self, service: str, spec: EngineSpec, books: list[Book], now: float
+    ) -> list[Command]:
+        commands = []
+        wanted = [
+            (demand, item)
+            for (owner, item), demand in self._demand.items()
+            if owner == service and "/" in item and (demand.waiting or demand.unmet > 0.05)
+        ]
+        for demand, item in sorted(wanted, key=lambda pair: -pair[0].waiting):
+            name, _, adapter = item.partition("/")
+            model = spec.model_by_name.get(name)
+            holders = [b for b in books if name in b.usable_models() and not b.view.leaving]
+            if model is None or not holders:
+                continue
+            coming = [b.incoming[item] for b in holders if item in b.incoming]
+            having = [b for b in holders if adapter in b.adapters[name]]
+            if coming:
+                self._expected[service, item] = min(coming)
+                continue
+            if having and demand.running < ADAPTER_CROWD * len(having):
+                continue
+            self._expected.setdefault((service, item), now + 2 * ADAPTER_BASE_S)
+            for book in sorted(holders, key=lambda b: (b.running, b.view.endpoint)):
+                if book in having or book.sending is not None or book.settle_at is not None:
+                    continue
+                step = self._bring_adapter(spec, book, model, adapter, now)
+                if step is not None:
+                    commands.append(step)
+                    break
+        return commands
+
+    def _bring_adapter(
+        self, spec: EngineSpec, book: Book, model: ModelSpec, adapter: str, now: float
+    ) -> Command | None:
+        if book.open_order is not None or len(book.incoming) >= MAX_INCOMING:
+            return None
+        held = book.held_adapters()
+        has_place = len(held) + len(book.incoming) < spec.adapter_places
+        if has_place and book.memory_mb(spec) + model.adapter_mb <= spec.memory_mb:
+            return self._send(book, True, model.name, adapter, now)
+        idle = [
+            item for item in held if now - book.used_at.get(item, float("-inf")) >= ADAPTER_REST_S
+        ]
+        if not idle:
+            return None
+        victim = min(idle, key=lambda item: (book.used_at.get(item, float("-inf")), item))
+        name, _, old = victim.partition("/")
+        return self._send(book, False, name, old, now)
+
+    def _send(self, book: Book, is_load: bool, model: str, adapter: str, now: float) -> Command:
+        order = SequencedOrder(
+            is_load=is_load,
+            model=model,
+            adapter=adapter,
+            expected=book.sequence,
+            holder=self._node,
+            fence=self._fence,
+        )
+        book.sending = order
+        return Command(view=book.view, order=order)
+
+    def _find_model(self, book: Book, name: str) -> ModelSpec | None:
+        service = self._table.service_by_name.get(book.view.service) if self._table else None
+        return service.engine.model_by_name.get(name) if service and service.engine else None
+
+
+def _copies(books: list[Book], name: str) -> list[Book]:
+    return [b for b in books if name in b.usable_models() and not b.view.leaving]
+
+
+def _is_loading(book: Book, name: str) -> bool:
+    orders = (book.sending, book.open_order.order if book.open_order else None)
+    return any(o is not None and o.is_load and o.model == name and not o.adapter for o in orders)
+
+
+def _group(state: EngineState) -> dict[str, set[str]]:
+    adapters: dict[str, set[str]] = {model: set() for model in state.models}
+    for item in state.adapters:
+        model, _, adapter = item.partition("/")
+        if model in adapters:
+            adapters[model].add(adapter)
+    return adapters
--- a/catkinhook/retries.py
+++ b/catkinhook/retries.py
@@ -1,6 +1,7 @@
 """Retry budgets, backoff and ejection of failing endpoints."""
 
 import random
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
@@ -15,6 +16,9 @@
 BACKOFF_MAX_S = 1.0
 JITTER = (0.5, 1.5)
 
+# Part of the slack that hosts use, so that a host that joins finds some left.
+SLACK_USED = 0.8
+
 FAILURES_TO_EJECT = 3
 EJECTION_BASE_S = 2.0
 EJECTION_MAX_S = 60.0
@@ -106,3 +110,47 @@
     if kept or not candidates:
         return kept
     return [min(candidates, key=end_of)]
+
+
+@attrs.define
+class RetryWindow:
+    """Repeated sends of one service by this host, bounded over a sliding window.
+
+    The bound holds for all hosts together, so each takes the share of its own requests and an
+    equal part of the slack.
+
+    :ivar window_s: seconds of the window.
+    :ivar share: repeated sends as a share of the requests in the window.
+    :ivar slack: repeated sends of all hosts that are free in each window.
+    """
+
+    window_s: float
+    share: float
+    slack: float
+    _requests: deque[float] = attrs.Factory(deque)
+    _repeats: deque[float] = attrs.Factory(deque)
+
+    def count(self, now: float) -> None:
+        """Count a request."""
+        self._requests.append(now)
+        self._prune(now)
+
+    def spend(self, hosts: int, now: float) -> bool:
+        """Take one repeated send, or return False when none is left.
+
+        :param hosts: hosts among which the slack is divided.
+        """
+        self._prune(now)
+        # Requests of the last half window alone count, since the bound holds at every moment of it.
+        half = now - self.window_s / 2
+        recent = 2 * sum(at > half for at in self._requests)
+        earned = self.share * min(len(self._requests), recent)
+        if len(self._repeats) + 1 > earned + self.slack * SLACK_USED / max(1, hosts):
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _prune(self, now: float) -> None:
+        for times in (self._requests, self._repeats):
+            while times and times[0] <= now - self.window_s:
+                times.popleft()
--- /dev/null
+++ b/catkinhook/routes.py
@@ -0,0 +1,131 @@
+"""Routes and services that a host serves, as one numbered configuration."""
+
+import enum
+import random
+
+import attrs
+
+
+class Repeat(enum.StrEnum):
+    """How often a request may run."""
+
+    ALWAYS = "always"
+    RESUME = "resume"  # a stream that may go on at another endpoint
+    NEVER = "never"
+
+
+@attrs.frozen(kw_only=True)
+class ModelSpec:
+    """A model that a service offers.
+
+    :ivar memory_mb: accelerator memory of its weights.
+    :ivar load_s: seconds to load it from the weight store.
+    :ivar disk_load_s: seconds to load it from an endpoint's own disk.
+    :ivar memory_load_s: seconds to load it from an endpoint's host memory.
+    :ivar adapter_mb: accelerator memory of each adapter.
+    """
+
+    name: str
+    memory_mb: float
+    load_s: float
+    disk_load_s: float
+    memory_load_s: float
+    adapter_mb: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class EngineSpec:
+    """What all engines of a service have in common.
+
+    :ivar slots: requests that run at once.
+    :ivar cache_tokens: tokens of KV cache.
+    :ivar memory_mb: accelerator memory for weights and adapters.
+    :ivar adapter_places: adapters that an engine may hold or be loading.
+    :ivar loads_per_s: loads that the weight store allows a second over all engines.
+    """
+
+    slots: int
+    cache_tokens: int
+    memory_mb: float
+    adapter_places: int
+    loads_per_s: float
+    model_by_name: dict[str, ModelSpec] = attrs.field(factory=dict, hash=False)
+
+
+@attrs.frozen(kw_only=True)
+class ServiceSpec:
+    """A service; ``engine`` is None for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineSpec | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """A path prefix on a host name, and what its callers are promised.
+
+    :ivar timeout_s: longest time that a caller is kept waiting.
+    :ivar objective_s: time to the answer, or to the first event of a stream.
+    :ivar gap_s: longest pause between events of a stream that is on time.
+    :ivar rank: 0 for the most urgent route.
+    :ivar max_attempts: endpoints on which one request may run.
+    :ivar weight_by_service: how the requests are divided among services.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    is_stream: bool
+    timeout_s: float
+    objective_s: float
+    gap_s: float
+    rank: int
+    max_attempts: int
+    weight_by_service: tuple[tuple[str, float], ...]
+
+    def choose_service(self, rng: random.Random) -> str:
+        """Draw a service by the weights."""
+        services = [service for service, _ in self.weight_by_service]
+        if len(services) == 1:
+            return services[0]
+        return rng.choices(services, [weight for _, weight in self.weight_by_service])[0]
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    :ivar idle_s: seconds for which a kept connection may be idle.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    idle_s: float = 15.0
+
+
+@attrs.frozen(kw_only=True)
+class RouteTable:
+    """All routes and services of one version of the configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: dict[str, ServiceSpec] = attrs.field(hash=False)
+    limits: CallerLimits = CallerLimits()
+    _routes_by_host: dict[str, list[Route]] = attrs.field(init=False, hash=False, repr=False)
+
+    @_routes_by_host.default
+    def _index(self) -> dict[str, list[Route]]:
+        by_host: dict[str, list[Route]] = {}
+        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
+            by_host.setdefault(route.host.lower(), []).append(route)
+        return by_host
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path.
+
+        :param host: name without a port.
+        """
+        routes = self._routes_by_host.get(host.lower(), ())
+        return next((route for route in routes if path.startswith(route.prefix)), None)
--- /dev/null
+++ b/catkinhook/scheduling.py
@@ -0,0 +1,437 @@
+"""Decisions of a host on its requests: which endpoint, in which order they wait, who is refused.
+
+Everything here is a function of the state and the time passed in.
+"""
+
+import math
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from catkinhook import retries, routing
+from catkinhook.candidates import EndpointIndex
+from catkinhook.demand import ItemDemand
+from catkinhook.errors import Ran, Refusal
+from catkinhook.estimates import Estimates
+from catkinhook.hostsettings import Bounds
+from catkinhook.inflight import Outcome
+from catkinhook.prefixes import PrefixIndex
+from catkinhook.routes import RouteTable
+from catkinhook.suspects import EventKind, Standing, Suspects
+from catkinhook.views import EndpointView, LoadReport
+from catkinhook.work import Decision, Placed, Work
+
+STEP = "scheduling"
+
+# Seconds before a caller gives up by which an attempt must start to be of use.
+START_MARGIN_S = 0.25
+# A request waits this long for word on when a model or adapter will be available.
+UNKNOWN_WAIT_S = 0.6
+# Requests that a plain service queues itself, as a share of its slots; it refuses beyond that.
+PLAIN_QUEUE_SHARE = 1.0
+# Part of the KV cache that is filled by plan; answers may grow longer than expected.
+CACHE_SHARE = 0.92
+# Part of the most output tokens that an answer takes on average.
+OUTPUT_SHARE = 0.7
+# An endpoint that denied having an item is passed over for it this long.
+ABSENT_S = 0.4
+# Bounds on the seconds after which a refused caller is told to come back.
+RETRY_AFTER_MIN_S = 0.2
+RETRY_AFTER_MAX_S = 10.0
+# Spread of the return of callers that are refused together, as a share of the wait.
+RETRY_SPREAD = 0.25
+# Smoothing of the seconds between ends of requests, from which waits are predicted.
+PACE_STEP = 0.1
+# Objectives longer than this mark work that leaves room for other work.
+PATIENT_OBJECTIVE_S = 4.0
+# Longest queue of one host, which bounds its memory and threads.
+MAX_WAITING = 400
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """A request that waits for a decision.
+
+    :ivar decide: called once with the decision.
+    """
+
+    work: Work
+    exclude: frozenset[str]
+    decide: Callable[[Decision], None]
+    since: float
+    ran: Ran = Ran.NO
+
+
+@attrs.define
+class _Attempt:
+    work: Work
+    endpoint: str
+    started: float
+    load: float
+    uncached: float
+    hinted: float
+    probe: bool
+    first_at: float | None = None
+
+
+@attrs.define
+class _Pace:
+    """Seconds between two ends of requests of one service."""
+
+    seconds: float = 0.0
+    at: float | None = None
+
+    def note(self, now: float) -> None:
+        if self.at is not None:
+            step = PACE_STEP if self.seconds else 1.0
+            self.seconds += step * (min(1.0, now - self.at) - self.seconds)
+        self.at = now
+
+
+class Scheduler:
+    """Owner of what a host decides from; one actor calls it.
+
+    :param zone: availability zone of this host.
+    :param origin: unique name of this process, for suspect events.
+    """
+
+    def __init__(self, zone: str, origin: str, bounds: Bounds, rng: random.Random) -> None:
+        self._zone = zone
+        self._bounds = bounds
+        self._rng = rng
+        self._table: RouteTable | None = None
+        self._endpoint_by_id: dict[str, EndpointView] = {}
+        self._index = EndpointIndex()
+        self._load_by_id: dict[str, routing.EndpointLoad] = {}
+        self._tokens_by_id: dict[str, int] = {}
+        self._attempt_by_number: dict[int, _Attempt] = {}
+        self._waiting: list[Ticket] = []
+        self._demand_by_item: dict[tuple[str, str], ItemDemand] = {}
+        self._expected_by_item: dict[tuple[str, str], float] = {}
+        self._absent_until: dict[tuple[str, str], float] = {}
+        self._window_by_service: dict[str, retries.RetryWindow] = {}
+        self._pace_by_service: dict[str, _Pace] = {}
+        self._estimates = Estimates()
+        self._prefixes = PrefixIndex()
+        self._ejections = retries.Ejections()
+        self._next_attempt = 1
+        self.hosts = 1
+        self.suspects = Suspects(origin)
+
+    # What is known.
+
+    def set_table(self, table: RouteTable) -> None:
+        """Take over a newer configuration."""
+        self._table = table
+
+    def set_endpoints(self, endpoint_by_id: dict[str, EndpointView], now: float) -> None:
+        """Take over the endpoints and what they hold."""
+        for endpoint, view in endpoint_by_id.items():
+            known = self._endpoint_by_id.get(endpoint)
+            if known is not None and known.boot_id != view.boot_id:
+                self._prefixes.forget(endpoint)
+                self._ejections.readmit(endpoint)
+        gone = set(self._endpoint_by_id) - set(endpoint_by_id)
+        for endpoint in gone:
+            self._prefixes.forget(endpoint)
+            self._load_by_id.pop(endpoint, None)
+            self._tokens_by_id.pop(endpoint, None)
+        self._estimates.forget(gone)
+        self._endpoint_by_id = dict(endpoint_by_id)
+        self._index.update(self._endpoint_by_id)
+        self.serve_waiting(now)
+
+    def set_expected(self, seconds_by_item: dict[tuple[str, str], float], now: float) -> None:
+        """Take over in how many seconds missing items will be available."""
+        self._expected_by_item = {item: now + s for item, s in seconds_by_item.items()}
+        self.serve_waiting(now)
+
+    def note_load(self, endpoint: str, running: int, waiting: int, now: float) -> None:
+        """Take over the load of an endpoint over all hosts, as of now."""
+        self._load(endpoint).take(LoadReport(running, waiting, 0.0, now))
+
+    # Requests.
+
+    def submit(self, work: Work, decide: Callable[[Decision], None], now: float) -> Ticket:
+        """Queue a new request; ``decide`` is called now or later."""
+        self._demand(work).count_request(now)
+        self._window(work.service).count(now)
+        return self._enqueue(Ticket(work, frozenset(), decide, now), now)
+
+    def submit_again(
+        self,
+        work: Work,
+        exclude: frozenset[str],
+        ran: Ran,
+        decide: Callable[[Decision], None],
+        now: float,
+    ) -> Ticket | None:
+        """Queue a request for another attempt, or return None when it may not be repeated.
+
+        :param exclude: endpoints that earlier attempts used.
+        :param ran: whether an earlier attempt may have run.
+        """
+        if ran is not Ran.NO and not work.is_repeatable:
+            return None
+        if not self._window(work.service).spend(self.hosts, now):
+            return None
+        return self._enqueue(Ticket(work, exclude, decide, now, ran), now)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Drop a request that waits, because its caller left."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+
+    def serve_waiting(self, now: float) -> None:
+        """Place what can be placed, and refuse what can't be served in time."""
+        if not self._waiting:
+            return
+        blocked: set[tuple[str, str]] = set()
+        ahead_by_service: dict[str, int] = {}
+        left: list[Ticket] = []
+        for ticket in sorted(self._waiting, key=lambda t: _order(t.work, now)):
+            key = (ticket.work.service, ticket.work.item)
+            decision: Decision | None = None
+            # Excluded endpoints differ between tickets, so only first attempts share a verdict.
+            if key not in blocked or ticket.exclude:
+                decision = self._try_place(ticket, now)
+            if decision is None:
+                blocked.add(key)
+                ahead = ahead_by_service.get(ticket.work.service, 0)
+                decision = self._refuse_hopeless(ticket, ahead, now)
+            if decision is None:
+                ahead_by_service[ticket.work.service] = ahead + 1
+                left.append(ticket)
+            else:
+                ticket.decide(decision)
+        self._waiting = left
+
+    def note_first(self, attempt: int, now: float) -> None:
+        """Record the first bytes of an attempt's answer."""
+        state = self._attempt_by_number.get(attempt)
+        if state is None or state.first_at is not None:
+            return
+        state.first_at = now
+        work = state.work
+        if work.item:
+            full = self._estimates.first_token_seconds(
+                state.endpoint, work.model, work.prompt_tokens, state.load, now
+            )
+            self._prefixes.learn(state.hinted, full, now - state.started)
+        self._estimates.observe_first_token(
+            state.endpoint, work.model, state.uncached, state.load, now - state.started, now
+        )
+        self._prefixes.note(state.endpoint, work.prefixes, now)
+
+    def finish(self, attempt: int, outcome: Outcome, now: float, is_absent: bool = False) -> None:
+        """End an attempt.
+
+        :param is_absent: the endpoint denied having the item.
+        """
+        state = self._attempt_by_number.pop(attempt, None)
+        if state is None:
+            return
+        work, endpoint = state.work, state.endpoint
+        self._load(endpoint).finish(now)
+        used = self._tokens_by_id.get(endpoint, 0) - _reserved(work)
+        self._tokens_by_id[endpoint] = max(0, used)
+        demand = self._demand(work)
+        demand.in_progress = max(0, demand.in_progress - 1)
+        self._pace_by_service.setdefault(work.service, _Pace()).note(now)
+        if is_absent:
+            self._absent_until[endpoint, work.item] = now + ABSENT_S
+        elif outcome is Outcome.COMPLETED:
+            self._ejections.succeed(endpoint)
+            if self.suspects.standing(work.fingerprint, now) is not Standing.HARMLESS:
+                self.suspects.record(EventKind.CLEAR, work.fingerprint, work.model, now)
+        elif outcome is not Outcome.CANCELLED:
+            self._ejections.fail(endpoint, outcome is Outcome.CRASHED, now)
+        if outcome is Outcome.CRASHED and state.first_at is None:
+            view = self._endpoint_by_id.get(endpoint)
+            boot = view.boot_id if view else ""
+            fingerprint = work.fingerprint
+            self.suspects.record(EventKind.CRASH, fingerprint, work.model, now, endpoint, boot)
+        self.serve_waiting(now)
+
+    # What other hosts and the holder of the order lease are told.
+
+    def demand(self, now: float) -> dict[tuple[str, str], tuple[float, float, int, int]]:
+        """Return rate, unmet rate, waiting and running requests by service and item."""
+        waiting: dict[tuple[str, str], int] = {}
+        for ticket in self._waiting:
+            key = (ticket.work.service, ticket.work.item)
+            waiting[key] = waiting.get(key, 0) + 1
+        summary = {}
+        for key, demand in list(self._demand_by_item.items()):
+            rate, unmet = demand.rates(now)
+            if rate < 1e-3 and not demand.in_progress and key not in waiting:
+                del self._demand_by_item[key]
+                continue
+            summary[key] = (rate, unmet, waiting.get(key, 0), demand.in_progress)
+        return summary
+
+    def running(self) -> dict[str, int]:
+        """Return this host's requests in progress by endpoint."""
+        return {endpoint: load.own for endpoint, load in self._load_by_id.items() if load.own}
+
+    def missing(self) -> set[tuple[str, str]]:
+        """Return the items that requests wait for and no usable endpoint has."""
+        found = {(t.work.service, t.work.item) for t in self._waiting if t.work.item}
+        return {key for key in found if not self._index.find(*key)}
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    # Decisions.
+
+    def _enqueue(self, ticket: Ticket, now: float) -> Ticket:
+        self._waiting.append(ticket)
+        self.serve_waiting(now)
+        return ticket
+
+    def _try_place(self, ticket: Ticket, now: float) -> Decision | None:
+        work = ticket.work
+        standing = self.suspects.standing(work.fingerprint, now)
+        if standing is Standing.QUARANTINED:
+            reason = "the request crashed endpoints repeatedly and is quarantined"
+            return Refusal(STEP, "", reason, "quarantined", 503, ticket.ran)
+        found = [view for view in self._usable(ticket, now) if self._has_room(view, work)]
+        best = routing.compare([self._predict(work, view, now) for view in found])
+        if best is None:
+            return None
+        view = self._endpoint_by_id[best.endpoint]
+        return self._start(work, view, standing is Standing.SUSPECT, now)
+
+    def _usable(self, ticket: Ticket, now: float) -> list[EndpointView]:
+        work = ticket.work
+        holding = [
+            self._endpoint_by_id[endpoint]
+            for endpoint in self._index.find(work.service, work.item)
+            if self._absent_until.get((endpoint, work.item), 0.0) <= now
+        ]
+        # An endpoint that failed once is better than none, but only for what may be repeated.
+        fresh = [view for view in holding if view.endpoint not in ticket.exclude]
+        if not fresh and ticket.ran is Ran.NO:
+            fresh = holding
+        return retries.keep_one(
+            fresh,
+            lambda view: self._ejections.is_ejected(view.endpoint, now),
+            lambda view: self._ejections.end_of(view.endpoint),
+        )
+
+    def _has_room(self, view: EndpointView, work: Work) -> bool:
+        load = self._load(view.endpoint).current()
+        if not work.item:
+            return load < max(1, view.slots) * (1.0 + PLAIN_QUEUE_SHARE)
+        if load >= max(1, view.slots):
+            return False
+        spec = self._table.service_by_name.get(work.service) if self._table else None
+        if spec is None or spec.engine is None:
+            return True
+        own = self._tokens_by_id.get(view.endpoint, 0)
+        others = max(0.0, load - self._load(view.endpoint).own)
+        used = own + others * (_reserved(work) if not own else own / max(1, self._own(view)))
+        return used == 0 or used + _reserved(work) <= CACHE_SHARE * spec.engine.cache_tokens
+
+    def _own(self, view: EndpointView) -> int:
+        return self._load(view.endpoint).own
+
+    def _predict(self, work: Work, view: EndpointView, now: float) -> routing.Prediction:
+        load = self._load(view.endpoint).current()
+        tokens, _ = self._uncached(work, view, now)
+        first = self._estimates.first_token_seconds(view.endpoint, work.model, tokens, load, now)
+        return routing.Prediction(
+            endpoint=view.endpoint,
+            ratio=first / max(1e-3, work.route.objective_s),
+            finish=first,
+            same_zone=view.zone == self._zone,
+        )
+
+    def _uncached(self, work: Work, view: EndpointView, now: float) -> tuple[float, float]:
+        return self._prefixes.uncached(
+            view.endpoint, work.prompt_tokens, work.prefixes, frozenset(), now
+        )
+
+    def _start(self, work: Work, view: EndpointView, probe: bool, now: float) -> Placed:
+        number, self._next_attempt = self._next_attempt, self._next_attempt + 1
+        load = self._load(view.endpoint)
+        uncached, hinted = self._uncached(work, view, now)
+        self._attempt_by_number[number] = _Attempt(
+            work, view.endpoint, now, load.current(), uncached, hinted, probe
+        )
+        load.start(now)
+        tokens = self._tokens_by_id.get(view.endpoint, 0) + _reserved(work)
+        self._tokens_by_id[view.endpoint] = tokens
+        self._demand(work).in_progress += 1
+        return Placed(endpoint=view, attempt=number, priority=engine_priority(work), probe=probe)
+
+    def _refuse_hopeless(self, ticket: Ticket, ahead: int, now: float) -> Refusal | None:
+        work = ticket.work
+        limit = work.gives_up_at() - START_MARGIN_S
+        ready_at, reason = self._predict_start(ticket, ahead, now)
+        if ready_at <= limit and len(self._waiting) <= MAX_WAITING:
+            return None
+        wait = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, ready_at - now))
+        if not math.isfinite(wait):
+            wait = RETRY_AFTER_MAX_S
+        wait *= 1.0 + RETRY_SPREAD * self._rng.random()
+        self._demand(work).count_unmet(now)
+        status = 503 if ticket.ran is Ran.NO else 502
+        return Refusal(STEP, "", reason, "no-capacity", status, ticket.ran, wait)
+
+    def _predict_start(self, ticket: Ticket, ahead: int, now: float) -> tuple[float, str]:
+        """Return when a waiting request can start, and why it waits."""
+        work = ticket.work
+        key = (work.service, work.item)
+        if self._index.find(*key):
+            pace = self._pace_by_service.get(work.service, _Pace()).seconds
+            return now + pace * (ahead + 1), f"all endpoints of {work.service!r} are full"
+        expected = self._expected_by_item.get(key)
+        if expected is not None:
+            return max(now, expected), f"{work.item or work.service!r} is not available yet"
+        at = now if now - ticket.since < UNKNOWN_WAIT_S else math.inf
+        return at, f"no endpoint has {work.item or work.service!r}"
+
+    def _load(self, endpoint: str) -> routing.EndpointLoad:
+        return self._load_by_id.setdefault(endpoint, routing.EndpointLoad())
+
+    def _demand(self, work: Work) -> ItemDemand:
+        return self._demand_by_item.setdefault((work.service, work.item), ItemDemand())
+
+    def _window(self, service: str) -> retries.RetryWindow:
+        bounds = self._bounds
+        return self._window_by_service.setdefault(
+            service,
+            retries.RetryWindow(bounds.retry_window_s, bounds.retry_share, bounds.retry_slack),
+        )
+
+
+def engine_priority(work: Work) -> int:
+    """Return the priority for the engine, 0 for the most urgent work to 9.
+
+    Work of the same rank that has seconds until its objective lets interactive work go first.
+    """
+    patient = work.route.objective_s > PATIENT_OBJECTIVE_S
+    return min(9, 2 * work.route.rank + (1 if patient else 0))
+
+
+def reserve_tokens(works: Iterable[Work]) -> int:
+    """Return the tokens of KV cache that requests are expected to take."""
+    return sum(_reserved(work) for work in works)
+
+
+def _reserved(work: Work) -> int:
+    return work.prompt_tokens + int(OUTPUT_SHARE * work.output_tokens)
+
+
+def _order(work: Work, now: float) -> tuple[bool, float, float]:
+    """Order of waiting requests: those that can still be on time, by the time they have left.
+
+    Late ones follow by rank, so that a burst that can't be served on time doesn't take the place
+    of requests that can.
+    """
+    due = work.arrived + work.route.objective_s
+    is_late = now > due
+    return (is_late, float(work.route.rank) if is_late else due, work.arrived)
--- /dev/null
+++ b/catkinhook/thrift_hosts/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Host']
--- a/catkinhook/views.py
+++ b/catkinhook/views.py
@@ -32,6 +32,10 @@
     :ivar models: models that may be routed there.
     :ivar adapters: adapters that may be routed there, as ``model/adapter``.
     :ivar prefixes: hashes of cached prompt prefixes, a hint that may be out of date.
+    :ivar slots: requests that it runs at once, 0 when it isn't known.
+    :ivar sequence: orders that it has accepted since its start, -1 when it isn't known.
+    :ivar in_memory: models whose weights it keeps in host memory.
+    :ivar on_disk: models whose weights it keeps on its disk.
     """
 
     endpoint: str
@@ -46,6 +50,10 @@
     adapters: frozenset[str] = frozenset()
     report: LoadReport | None = None
     prefixes: frozenset[str] = frozenset()
+    slots: int = 0
+    sequence: int = -1
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- /dev/null
+++ b/catkinhook/watches.py
@@ -0,0 +1,220 @@
+"""Services that follow the configuration and the endpoints in the store."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from catkinhook.decisionlog import DecisionLog
+from catkinhook.endpointbook import LAPSE_GRACE_S, EndpointBook
+from catkinhook.errors import StoreError
+from catkinhook.feeds import Changes, Feed
+from catkinhook.routes import RouteTable
+from catkinhook.views import EndpointView
+
+# Longest time that a call to a feed is held. A connection that went silent is noticed after it.
+HOLD_S = 2.0
+# Heartbeats of endpoints change the table all the time, so it is not read more often than this.
+ENDPOINT_PAUSE_S = 0.6
+# Seconds between calls while the store does not answer.
+RETRY_S = 0.3
+# The store counts as away when no call succeeded for this long.
+OUTAGE_S = 1.5
+
+
+class _FeedLoop:
+    """Thread that follows one feed and tells of its loss and return."""
+
+    def __init__(self, name: str, feed: Feed, pause_s: float, log: DecisionLog) -> None:
+        self._name = name
+        self._feed = feed
+        self._pause_s = pause_s
+        self._log = log
+        self._after: int | None = None
+        self._stop = threading.Event()
+        self._is_lost = False
+        self._heard_at = time.monotonic()
+        self._returned_at = float("-inf")
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread, without waiting for a call that is held."""
+        self._stop.set()
+
+    def age(self) -> float:
+        """Return the seconds since the store was last heard."""
+        return time.monotonic() - self._heard_at
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            followed = self._feed.follow(self._after, HOLD_S)
+            if followed.is_err():
+                self._note_lost(followed.unwrap_err())
+                self._stop.wait(RETRY_S)
+                continue
+            self._note_heard()
+            changes = followed.unwrap()
+            try:
+                self._take(changes)
+            except Exception as error:
+                # Rows of other writers must not end the watch.
+                self._log.record("feed", outcome=f"failed: {error!r}", feed=self._name)
+            self._after = changes.version
+            self._stop.wait(self._pause_s)
+
+    def _note_lost(self, error: StoreError) -> None:
+        if not self._is_lost:
+            self._log.record("dependency", outcome="lost", name=self._name, reason=str(error))
+        self._is_lost = True
+        self._on_lost()
+
+    def _note_heard(self) -> None:
+        now = time.monotonic()
+        if self._is_lost or now - self._heard_at > OUTAGE_S + HOLD_S:
+            self._returned_at = now
+            away = round(now - self._heard_at, 3)
+            self._log.record("dependency", outcome="regained", name=self._name, away_s=away)
+        self._is_lost = False
+        self._heard_at = now
+
+    def _on_lost(self) -> None:
+        """Act on a call that failed."""
+
+    def _take(self, changes: Changes) -> None:
+        raise AssertionError("the loop has no consumer")
+
+
+class ConfigurationWatch(_FeedLoop):
+    """Follows the configuration and never goes back to a lower version.
+
+    :param key: key of its row.
+    :param decode: decoder of the row, which returns a reason for what can't be used.
+    :param on_table: called with each newer configuration.
+    :param ask_peers: returns a newer configuration of another host, None when there is none.
+    """
+
+    def __init__(
+        self,
+        feed: Feed,
+        key: str,
+        decode: Callable[[bytes], Result[RouteTable, str]],
+        on_table: Callable[[RouteTable], None],
+        ask_peers: Callable[[int], bytes | None],
+        log: DecisionLog,
+    ) -> None:
+        super().__init__("configuration", feed, 0.0, log)
+        self._key = key
+        self._decode = decode
+        self._on_table = on_table
+        self._ask_peers = ask_peers
+        self._lock = threading.Lock()
+        self.table: RouteTable | None = None
+        self.text = b""
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first."""
+        return self.table.version if self.table else 0
+
+    def offer(self, text: bytes, source: str) -> Result[bool, str]:
+        """Take over a configuration if it is newer.
+
+        :param source: where it comes from, for the log.
+        :returns: whether it was newer, or why it can't be used.
+        """
+        decoded = self._decode(text)
+        if decoded.is_err():
+            reason = decoded.unwrap_err()
+            self._log.record(
+                "configuration", outcome=f"unusable: {reason}", source=source, kept=self.version
+            )
+            return Err(reason)
+        table = decoded.unwrap()
+        with self._lock:
+            if self.table is not None and table.version <= self.table.version:
+                return Ok(False)
+            previous = self.version
+            self.table, self.text = table, text
+            self._on_table(table)
+        self._log.record(
+            "configuration",
+            outcome="in force",
+            version=table.version,
+            previous=previous,
+            source=source,
+            routes=len(table.routes),
+        )
+        return Ok(True)
+
+    def fetch_newer(self) -> None:
+        """Ask other hosts for a newer configuration."""
+        text = self._ask_peers(self.version)
+        if text:
+            self.offer(text, "peer")
+
+    def _on_lost(self) -> None:
+        self.fetch_newer()
+
+    def _take(self, changes: Changes) -> None:
+        text = changes.value_by_key.get(self._key)
+        if text is not None:
+            self.offer(text, "store")
+
+
+class EndpointWatch(_FeedLoop):
+    """Follows the entries of endpoints.
+
+    :param decode: decoder of an entry, which returns a reason for what can't be used.
+    :param on_endpoints: called with all endpoints by id after each change.
+    """
+
+    def __init__(
+        self,
+        feed: Feed,
+        decode: Callable[[str, bytes], Result[EndpointView, str]],
+        on_endpoints: Callable[[dict[str, EndpointView]], None],
+        log: DecisionLog,
+    ) -> None:
+        super().__init__("endpoints", feed, ENDPOINT_PAUSE_S, log)
+        self._decode = decode
+        self._on_endpoints = on_endpoints
+        self._book = EndpointBook()
+        self._unusable: set[str] = set()
+        self.is_known = False
+
+    def _take(self, changes: Changes) -> None:
+        now = time.monotonic()
+        removed = set(changes.removed)
+        if changes.whole:
+            removed |= self._book.known() - set(changes.value_by_key)
+        grace_until = self._returned_at + LAPSE_GRACE_S
+        for endpoint in removed:
+            self._book.remove(endpoint, grace_until if grace_until > now else None)
+            self._log.record("endpoint", outcome="removed", endpoint=endpoint)
+        before = self._book.views()
+        for endpoint, value in changes.value_by_key.items():
+            self._put(endpoint, value, before.get(endpoint))
+        for endpoint in self._book.expire(now):
+            self._log.record("endpoint", outcome="gone", endpoint=endpoint)
+        self.is_known = True
+        self._on_endpoints(self._book.views())
+
+    def _put(self, endpoint: str, value: bytes, before: EndpointView | None) -> None:
+        decoded = self._decode(endpoint, value)
+        if decoded.is_err():
+            if endpoint not in self._unusable:
+                reason = decoded.unwrap_err()
+                self._log.record("endpoint", outcome=f"unusable: {reason}", endpoint=endpoint)
+                self._unusable.add(endpoint)
+            return
+        view = decoded.unwrap()
+        self._book.put(view)
+        key = (view.leaving, view.boot_id, view.address)
+        if before is None or key != (before.leaving, before.boot_id, before.address):
+            outcome = "leaving" if view.leaving else "ready"
+            self._log.record("endpoint", outcome=outcome, endpoint=endpoint, address=view.address)
--- a/catkinhook/web.py
+++ b/catkinhook/web.py
@@ -27,13 +27,12 @@
     identify,
     refuse,
 )
+from catkinhook.listening import IS_BEHIND
 from catkinhook.metrics import CONTENT_TYPE, GatewayMetrics
 from catkinhook.views import Snapshot
 
 STEP = "web"
 DEFERRED_PREFIX = "/v1/deferred/"
-# Key of the WSGI environment under which the server tells whether the caller is behind.
-IS_BEHIND = "catkinhook.is_behind"
 RESPOND_ASYNC = "respond-async"
 
 _STREAM_HEADERS = (("Content-Type", EVENT_STREAM), ("Cache-Control", "no-store"))
