Send hosts' reports by revision in a compact protocol

Change: holdings by revision, only what a host waits for, suspect events for 1.5 s, the compact thrift protocol, pauses by the holder's own word on when an item arrives.

--- a/catkinhook/holderlink.py
+++ b/catkinhook/holderlink.py
@@ -14,6 +14,7 @@
 from catkinhook.hostmessages import (
     MAX_SUSPECTS,
     HolderView,
+    Holding,
     HostReport,
     decode_report,
     decode_view,
@@ -31,28 +32,28 @@
 from catkinhook.wire import make_refused
 
 # Seconds between exchanges, and while requests wait for an item that is on its way.
-EXCHANGE_S = 0.2
-HURRY_S = 0.02
+EXCHANGE_S = 0.4
+# Shortest pause, for what arrives any moment, and the pause while the holder can't tell when.
+HURRY_S = 0.01
+UNKNOWN_PAUSE_S = 0.1
 # The holder counts as heard for this long after an answer.
 HEARD_S = 1.0
-# What the holder said of engines is used for this long.
-VIEW_LIFE_S = 3.0
+# Suspect events are repeated for this long, and all are sent to a host that is new to a holder.
+SUSPECT_REPEAT_S = 1.5
 # A host without a view counts the hosts that it saw last.
 MIN_HOSTS = 1
 
 
 def overlay(
-    endpoint_by_id: dict[str, EndpointView], view: HolderView | None
+    endpoint_by_id: dict[str, EndpointView], holdings: Iterable[Holding]
 ) -> dict[str, EndpointView]:
     """Return the endpoints with what the holder knows of their models and adapters.
 
     An entry in the store tells nothing new after an adapter was loaded, so the holder's word goes
     first until the entry shows orders that the holder has not seen.
     """
-    if view is None:
-        return endpoint_by_id
     merged = dict(endpoint_by_id)
-    for holding in view.holdings:
+    for holding in holdings:
         entry = merged.get(holding.endpoint)
         if entry is None or entry.boot_id != holding.boot_id:
             continue
@@ -64,6 +65,20 @@
     return merged
 
 
+def choose_pause(
+    missing: set[tuple[str, str]], wait_by_item: dict[tuple[str, str], float]
+) -> float:
+    """Return the seconds until the next exchange.
+
+    :param missing: items that requests wait for.
+    :param wait_by_item: seconds until they will be available, as far as the holder knows.
+    """
+    if not missing:
+        return EXCHANGE_S
+    wait = min(wait_by_item.get(item, UNKNOWN_PAUSE_S) for item in missing)
+    return min(EXCHANGE_S, max(HURRY_S, wait + HURRY_S))
+
+
 class HolderLink:
     """Thread that reports to the holder and applies its view.
 
@@ -96,7 +111,8 @@
         self._stop = threading.Event()
         self._lock = threading.Lock()
         self._endpoint_by_id: dict[str, EndpointView] = {}
-        self._view: HolderView | None = None
+        self._holding_by_id: dict[str, Holding] = {}
+        self._known = (0, 0)
         self._view_at = float("-inf")
         self._was_heard = False
         self._addresses: tuple[str, ...] = ()
@@ -146,8 +162,10 @@
         """Return what this host tells the holder."""
         now = time.monotonic()
 
+        life = SUSPECT_REPEAT_S if self._known[0] else float("inf")
+
         def summarise(scheduler: Scheduler) -> tuple[dict, dict, list[SuspectEvent]]:
-            events = scheduler.suspects.events(now, MAX_SUSPECTS)
+            events = scheduler.suspects.events(now, MAX_SUSPECTS, life)
             return scheduler.demand(now), scheduler.running(), events
 
         demand, running, events = self._scheduler.ask(summarise)
@@ -163,6 +181,8 @@
             running_by_id=running,
             suspects=tuple(events),
             stopping=self.is_stopping,
+            known_fence=self._known[0],
+            known_revision=self._known[1],
         )
 
     def answer(self, report: HostReport) -> HolderView:
@@ -172,7 +192,8 @@
         view = self._holder.answer(report)
         self._merge_suspects(report.suspects)
         now = time.monotonic()
-        events = self._scheduler.ask(lambda s: s.suspects.events(now, MAX_SUSPECTS))
+        life = SUSPECT_REPEAT_S if report.known_fence == view.fence else float("inf")
+        events = self._scheduler.ask(lambda s: s.suspects.events(now, MAX_SUSPECTS, life))
         return attrs.evolve(
             view,
             configuration=self._find_version(),
@@ -188,31 +209,34 @@
             if self._stop.is_set():
                 return
             try:
-                is_missing = self._exchange()
+                pause = self._exchange()
             except Exception as error:
                 # A message that can't be used must not end the exchange.
                 self._log.record("exchange", outcome=f"failed: {error!r}")
-                is_missing = False
-            pause = HURRY_S if is_missing else EXCHANGE_S
+                pause = EXCHANGE_S
 
-    def _exchange(self) -> bool:
-        """Exchange once; return whether requests wait for something that is missing."""
+    def _exchange(self) -> float:
+        """Exchange once; return the seconds until the next time."""
         view = self._ask_holder()
         if view is not None and view.holds:
             with self._lock:
-                self._view, self._view_at = view, self._clock()
+                if view.fence != self._known[0]:
+                    self._holding_by_id.clear()
+                self._holding_by_id |= {h.endpoint: h for h in view.holdings}
+                self._known, self._view_at = (view.fence, view.revision), self._clock()
             self._addresses = view.addresses
             self._lease.confirm(view.lease_version, view.fence)
             self._merge_suspects(view.suspects)
             if view.configuration > self._find_version():
                 self._fetch_newer()
-            self._apply()
+            self._apply(view)
         is_heard = self.is_heard()
         if is_heard != self._was_heard:
             self._was_heard = is_heard
             outcome = "regained" if is_heard else "lost"
             self._log.record("dependency", outcome=outcome, name="holder")
-        return bool(self._scheduler.ask(lambda scheduler: scheduler.missing()))
+        missing = self._scheduler.ask(lambda scheduler: scheduler.missing())
+        return choose_pause(missing, view.wait_by_item if view is not None else {})
 
     def _ask_holder(self) -> HolderView | None:
         if self._lease.is_held():
@@ -235,19 +259,17 @@
         if events:
             self._scheduler.tell(lambda scheduler: scheduler.suspects.merge(events, now))
 
-    def _apply(self) -> None:
+    def _apply(self, view: HolderView | None = None) -> None:
         with self._lock:
-            is_fresh = self._clock() - self._view_at < VIEW_LIFE_S
-            view = self._view
-            endpoints = overlay(self._endpoint_by_id, view)
+            endpoints = overlay(self._endpoint_by_id, self._holding_by_id.values())
         hosts = max(MIN_HOSTS, len(self._addresses))
         now = time.monotonic()
 
         def change(scheduler: Scheduler) -> None:
             scheduler.hosts = hosts
-            if view is not None and is_fresh:
-                for holding in view.holdings:
-                    scheduler.note_load(holding.endpoint, holding.running, 0, now)
+            if view is not None:
+                for endpoint in endpoints:
+                    scheduler.note_load(endpoint, view.running_by_id.get(endpoint, 0), 0, now)
                 scheduler.set_expected(view.wait_by_item, now)
             scheduler.set_endpoints(endpoints, now)
 
--- a/catkinhook/holding.py
+++ b/catkinhook/holding.py
@@ -9,7 +9,7 @@
 from catkinhook.clocks import Clock
 from catkinhook.decisionlog import DecisionLog
 from catkinhook.enginestates import OrderedEngines
-from catkinhook.hostmessages import HolderView, HostReport, make_holding
+from catkinhook.hostmessages import HolderView, Holding, HostReport, make_holding
 from catkinhook.provisioning import Command, Demand, Provisioner
 from catkinhook.routes import RouteTable
 from catkinhook.stateactor import Owned
@@ -17,6 +17,8 @@
 
 # Seconds between plans when nothing happens; demand that arrives is planned for at once.
 PLAN_INTERVAL_S = 0.1
+# Reports that ask for nothing new share one sum of the demand for this long.
+REFRESH_S = 0.05
 # A host that has not reported for this long is left out of the demand.
 REPORT_LIFE_S = 2.0
 # Orders and reports in progress over all engines.
@@ -29,6 +31,10 @@
 
     provisioner: Provisioner
     report_by_node: dict[str, tuple[HostReport, float]] = attrs.Factory(dict)
+    running_by_id: dict[str, int] = attrs.Factory(dict)
+    revision: int = 0
+    refreshed_at: float = float("-inf")
+    _holding_by_id: dict[str, tuple[Holding, int]] = attrs.Factory(dict)
 
     def take(self, report: HostReport, now: float) -> None:
         if report.stopping:
@@ -46,9 +52,25 @@
                 demand[key] = wanted.plus(demand[key]) if key in demand else wanted
             for endpoint, count in report.running_by_id.items():
                 running[endpoint] = running.get(endpoint, 0) + count
+        self.running_by_id = running
         self.provisioner.set_demand(demand, now)
         self.provisioner.set_running(running)
 
+    def note_holdings(self) -> None:
+        """Give the holdings that changed a new revision."""
+        current = {book.view.endpoint: make_holding(book) for book in self.provisioner.holdings()}
+        for endpoint in set(self._holding_by_id) - set(current):
+            del self._holding_by_id[endpoint]
+        for endpoint, holding in current.items():
+            known = self._holding_by_id.get(endpoint)
+            if known is None or known[0] != holding:
+                self.revision += 1
+                self._holding_by_id[endpoint] = (holding, self.revision)
+
+    def holdings_after(self, revision: int) -> tuple[Holding, ...]:
+        """Return the holdings that changed since a revision."""
+        return tuple(h for h, changed in self._holding_by_id.values() if changed > revision)
+
 
 class Holder:
     """Plans and sends orders while this host holds the lease.
@@ -121,16 +143,20 @@
 
         def handle(desk: _Desk) -> HolderView:
             desk.take(report, now)
-            desk.sum_up(now)
-            self._plan(desk)
-            provisioner = desk.provisioner
+            waited_for = {key for key, wanted in report.demand_by_item.items() if wanted.waiting}
+            if waited_for or now - desk.refreshed_at >= REFRESH_S:
+                self._refresh(desk, now)
+            known = report.known_revision if report.known_fence == self._fence else -1
+            expected = desk.provisioner.expected(now)
             return HolderView(
                 node=self._node,
                 fence=self._fence,
                 holds=True,
-                holdings=tuple(make_holding(book) for book in provisioner.holdings()),
-                wait_by_item=provisioner.expected(now),
+                holdings=desk.holdings_after(known),
+                wait_by_item={key: expected[key] for key in waited_for if key in expected},
                 addresses=tuple(r.address for r, _ in desk.report_by_node.values()),
+                revision=desk.revision,
+                running_by_id=desk.running_by_id,
             )
 
         return self._desk.ask(handle)
@@ -141,11 +167,12 @@
                 self._wake()
 
     def _wake(self) -> None:
-        def change(desk: _Desk) -> None:
-            desk.sum_up(self._clock())
-            self._plan(desk)
+        self._desk.tell(lambda desk: self._refresh(desk, self._clock()))
 
-        self._desk.tell(change)
+    def _refresh(self, desk: _Desk, now: float) -> None:
+        desk.refreshed_at = now
+        desk.sum_up(now)
+        self._plan(desk)
 
     def _plan(self, desk: _Desk) -> None:
         if not self._may_order():
@@ -155,6 +182,7 @@
             self._submit(lambda view=view: self._read_state(view))
         for command in desk.provisioner.plan(now):
             self._submit(lambda command=command: self._send(command))
+        desk.note_holdings()
 
     def _submit(self, call: Callable[[], None]) -> None:
         if not self._stop.is_set():
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -27,7 +27,7 @@
 from catkinhook.leasekeeper import LeaseKeeper
 from catkinhook.listening import Server
 from catkinhook.orderlease import OrderLease
-from catkinhook.peers import PeerPool, PeerServer
+from catkinhook.peers import COMPACT, PeerPool, PeerServer
 from catkinhook.provisioning import Provisioner
 from catkinhook.routes import RouteTable
 from catkinhook.scheduling import Scheduler
@@ -153,7 +153,7 @@
         connections = Connections()
         watch = CallerWatch(CALLER_CHECK_S)
         secret = make_secret(settings)
-        pool = PeerPool(secret, PEER_TIMEOUT_S, interface=HostInterface)
+        pool = PeerPool(secret, PEER_TIMEOUT_S, interface=HostInterface, protocols=COMPACT)
         holder = Holder(
             settings.node,
             Provisioner(settings.node, bounds),
@@ -220,7 +220,13 @@
             ("holder", holder),
             (
                 "peer-server",
-                PeerServer(settings.peer_address, handler, secret, interface=HostInterface),
+                PeerServer(
+                    settings.peer_address,
+                    handler,
+                    secret,
+                    interface=HostInterface,
+                    protocols=COMPACT,
+                ),
             ),
             ("ready", WebListener(ready, settings.ready_address, 1, "ready")),
             ("configuration", self.configuration),
--- a/catkinhook/hostmessages.py
+++ b/catkinhook/hostmessages.py
@@ -12,6 +12,8 @@
 
 # Suspect events in one message, newest first.
 MAX_SUSPECTS = 64
+# Rates travel as whole numbers, which take fewer bytes.
+PER_S = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -23,6 +25,8 @@
     :ivar configuration: version in force there.
     :ivar demand_by_item: demand by service and item.
     :ivar running_by_id: its requests in progress by endpoint.
+    :ivar known_fence: fencing token of the holder whose holdings it knows.
+    :ivar known_revision: revision of the holdings that it knows.
     """
 
     node: str
@@ -33,21 +37,19 @@
     running_by_id: dict[str, int]
     suspects: tuple[SuspectEvent, ...] = ()
     stopping: bool = False
+    known_fence: int = 0
+    known_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class Holding:
-    """What an engine holds, as the holder of the order lease knows it.
-
-    :ivar running: requests of all hosts in progress there.
-    """
+    """What an engine holds, as the holder of the order lease knows it."""
 
     endpoint: str
     boot_id: str
     sequence: int
     models: frozenset[str]
     adapters: frozenset[str]
-    running: int
 
 
 @attrs.frozen(kw_only=True)
@@ -55,6 +57,8 @@
     """What the holder of the order lease tells a host.
 
     :ivar holds: false when the sender does not hold the lease.
+    :ivar holdings: those that changed since the revision that the host knows.
+    :ivar running_by_id: requests of all hosts in progress by endpoint.
     :ivar wait_by_item: seconds until missing items will be available.
     :ivar addresses: thrift listeners of all hosts that reported lately.
     :ivar lease_version: version of the lease row.
@@ -69,6 +73,8 @@
     configuration: int = 0
     suspects: tuple[SuspectEvent, ...] = ()
     lease_version: int = 0
+    revision: int = 0
+    running_by_id: dict[str, int] = attrs.Factory(dict)
 
 
 def make_holding(book: Book) -> Holding:
@@ -81,7 +87,6 @@
         sequence=book.sequence,
         models=usable,
         adapters=frozenset(adapters),
-        running=book.running,
     )
 
 
@@ -96,8 +101,8 @@
             ttypes.ItemDemand(
                 service_name=service,
                 item=item,
-                rate=demand.rate,
-                unmet=demand.unmet,
+                rate=round(demand.rate * PER_S),
+                unmet=round(demand.unmet * PER_S),
                 waiting=demand.waiting,
                 running=demand.running,
             )
@@ -109,6 +114,8 @@
         ],
         suspects=_encode_events(report.suspects, now),
         stopping=report.stopping,
+        known_fence=report.known_fence,
+        known_revision=report.known_revision,
     )
 
 
@@ -125,8 +132,8 @@
         configuration=struct.configuration,
         demand_by_item={
             (entry.service_name, entry.item): Demand(
-                rate=max(0.0, entry.rate),
-                unmet=max(0.0, entry.unmet),
+                rate=max(0, entry.rate) / PER_S,
+                unmet=max(0, entry.unmet) / PER_S,
                 waiting=max(0, entry.waiting),
                 running=max(0, entry.running),
             )
@@ -135,6 +142,8 @@
         running_by_id={use.endpoint: max(0, use.running) for use in struct.uses},
         suspects=_decode_events(struct.suspects, now),
         stopping=struct.stopping,
+        known_fence=struct.known_fence,
+        known_revision=struct.known_revision,
     )
 
 
@@ -151,7 +160,6 @@
                 sequence=holding.sequence,
                 models=sorted(holding.models),
                 adapters=sorted(holding.adapters),
-                running=holding.running,
             )
             for holding in view.holdings
         ],
@@ -163,6 +171,11 @@
         configuration=view.configuration,
         suspects=_encode_events(view.suspects, now),
         lease_version=view.lease_version,
+        revision=view.revision,
+        uses=[
+            ttypes.EndpointUse(endpoint=endpoint, running=running)
+            for endpoint, running in view.running_by_id.items()
+        ],
     )
 
 
@@ -183,7 +196,6 @@
                 sequence=entry.sequence,
                 models=frozenset(entry.models),
                 adapters=frozenset(entry.adapters),
-                running=max(0, entry.running),
             )
             for entry in struct.holdings
         ),
@@ -195,6 +207,8 @@
         configuration=struct.configuration,
         suspects=_decode_events(struct.suspects, now),
         lease_version=struct.lease_version,
+        revision=struct.revision,
+        running_by_id={use.endpoint: max(0, use.running) for use in struct.uses},
     )
 
 
--- a/catkinhook/peers.py
+++ b/catkinhook/peers.py
@@ -13,6 +13,8 @@
 import attrs
 from result import Err, Ok, Result
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.protocol.TProtocol import TProtocolFactory
 from thrift.Thrift import TException
 from thrift.transport.TTransport import (
     TFramedTransport,
@@ -45,7 +47,9 @@
 MAX_HANDSHAKES = 32
 BACKLOG = 128
 
-_PROTOCOLS = TBinaryProtocolAcceleratedFactory(container_length_limit=MAX_LIST)
+_BINARY = TBinaryProtocolAcceleratedFactory(container_length_limit=MAX_LIST)
+# Messages that are sent several times a second between zones are small in this protocol.
+COMPACT = TCompactProtocolAcceleratedFactory(container_length_limit=MAX_LIST)
 
 _log = logging.getLogger(__name__)
 
@@ -165,7 +169,9 @@
         timeout: float = CALL_TIMEOUT,
         clock: Clock = monotonic,
         interface: ModuleType = Controller,
+        protocols: TProtocolFactory = _BINARY,
     ) -> None:
+        self._protocols = protocols
         self.address = address
         self._interface = interface
         self._secret = _check_secret(secret)
@@ -239,7 +245,7 @@
             raise
         framed = TFramedTransport(transport, MAX_REPLY_FRAME)
         self._transport = transport
-        self._client = self._interface.Client(_PROTOCOLS.getProtocol(framed))
+        self._client = self._interface.Client(self._protocols.getProtocol(framed))
 
     def _drop(self) -> None:
         if self._transport:
@@ -261,7 +267,9 @@
         timeout: float = CALL_TIMEOUT,
         clock: Clock = monotonic,
         interface: ModuleType = Controller,
+        protocols: TProtocolFactory = _BINARY,
     ) -> None:
+        self._protocols = protocols
         self._interface = interface
         self._secret = _check_secret(secret)
         self._timeout = timeout
@@ -287,7 +295,12 @@
             client = self._client_by_address.get(address)
             if client is None:
                 client = PeerClient(
-                    address, self._secret, self._timeout, self._clock, self._interface
+                    address,
+                    self._secret,
+                    self._timeout,
+                    self._clock,
+                    self._interface,
+                    self._protocols,
                 )
                 self._client_by_address[address] = client
         for other in idle:
@@ -333,7 +346,9 @@
         max_connections: int = MAX_CONNECTIONS,
         clock: Clock = monotonic,
         interface: ModuleType = Controller,
+        protocols: TProtocolFactory = _BINARY,
     ) -> None:
+        self._protocols = protocols
         self._wanted = address
         self._interface = interface
         self._processor = interface.Processor(handler)
@@ -444,7 +459,7 @@
         return True
 
     def _answer(self, transport: SocketTransport) -> None:
-        protocol = _PROTOCOLS.getProtocol(TFramedTransport(transport, MAX_REQUEST_FRAME))
+        protocol = self._protocols.getProtocol(TFramedTransport(transport, MAX_REQUEST_FRAME))
         while not self._closing:
             transport.deadline = self._clock() + SERVER_IDLE_TIME
             try:
--- a/catkinhook/suspects.py
+++ b/catkinhook/suspects.py
@@ -98,10 +98,16 @@
                 self._add(event, now - event.age)
         return len(new)
 
-    def events(self, now: float, limit: int = 256) -> list[SuspectEvent]:
-        """Return the newest events with their present age, for another instance."""
+    def events(
+        self, now: float, limit: int = 256, max_age: float = EVENT_LIFE_S
+    ) -> list[SuspectEvent]:
+        """Return the newest events with their present age, for another instance.
+
+        :param max_age: seconds; older events are left out.
+        """
         self._expire(now)
-        newest = sorted(self._at_by_event.values(), key=lambda item: -item[1])[:limit]
+        recent = [item for item in self._at_by_event.values() if now - item[1] <= max_age]
+        newest = sorted(recent, key=lambda item: -item[1])[:limit]
         return [attrs.evolve(event, age=max(0.0, now - at)) for event, at in newest]
 
     def standing(self, fingerprint: str, now: float) -> Standing:
--- a/catkinhook/thrift_hosts/ttypes.py
+++ b/catkinhook/thrift_hosts/ttypes.py
@@ -58,13 +58,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.rate = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.rate = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.DOUBLE:
-                    self.unmet = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.unmet = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -96,12 +96,12 @@
             oprot.writeString(self.item.encode('utf-8') if sys.version_info[0] == 2 else self.item)
             oprot.writeFieldEnd()
         if self.rate is not None:
-            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
-            oprot.writeDouble(self.rate)
+            oprot.writeFieldBegin('rate', TType.I32, 3)
+            oprot.writeI32(self.rate)
             oprot.writeFieldEnd()
         if self.unmet is not None:
-            oprot.writeFieldBegin('unmet', TType.DOUBLE, 4)
-            oprot.writeDouble(self.unmet)
+            oprot.writeFieldBegin('unmet', TType.I32, 4)
+            oprot.writeI32(self.unmet)
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.I32, 5)
@@ -208,11 +208,13 @@
      - uses
      - suspects
      - stopping
+     - known_fence
+     - known_revision
 
     """
 
 
-    def __init__(self, node=None, address=None, incarnation=None, configuration=None, items=None, uses=None, suspects=None, stopping=None,):
+    def __init__(self, node=None, address=None, incarnation=None, configuration=None, items=None, uses=None, suspects=None, stopping=None, known_fence=None, known_revision=None,):
         self.node = node
         self.address = address
         self.incarnation = incarnation
@@ -221,6 +223,8 @@
         self.uses = uses
         self.suspects = suspects
         self.stopping = stopping
+        self.known_fence = known_fence
+        self.known_revision = known_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -289,6 +293,16 @@
                     self.stopping = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.known_fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.known_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -340,6 +354,14 @@
             oprot.writeFieldBegin('stopping', TType.BOOL, 8)
             oprot.writeBool(self.stopping)
             oprot.writeFieldEnd()
+        if self.known_fence is not None:
+            oprot.writeFieldBegin('known_fence', TType.I64, 9)
+            oprot.writeI64(self.known_fence)
+            oprot.writeFieldEnd()
+        if self.known_revision is not None:
+            oprot.writeFieldBegin('known_revision', TType.I64, 10)
+            oprot.writeI64(self.known_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -366,18 +388,16 @@
      - sequence
      - models
      - adapters
-     - running
 
     """
 
 
-    def __init__(self, endpoint=None, boot_id=None, sequence=None, models=None, adapters=None, running=None,):
+    def __init__(self, endpoint=None, boot_id=None, sequence=None, models=None, adapters=None,):
         self.endpoint = endpoint
         self.boot_id = boot_id
         self.sequence = sequence
         self.models = models
         self.adapters = adapters
-        self.running = running
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -423,11 +443,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I32:
-                    self.running = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -464,10 +479,6 @@
                 oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.running is not None:
-            oprot.writeFieldBegin('running', TType.I32, 6)
-            oprot.writeI32(self.running)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -577,11 +588,13 @@
      - configuration
      - suspects
      - lease_version
+     - revision
+     - uses
 
     """
 
 
-    def __init__(self, node=None, fence=None, holds=None, holdings=None, expected=None, addresses=None, configuration=None, suspects=None, lease_version=None,):
+    def __init__(self, node=None, fence=None, holds=None, holdings=None, expected=None, addresses=None, configuration=None, suspects=None, lease_version=None, revision=None, uses=None,):
         self.node = node
         self.fence = fence
         self.holds = holds
@@ -591,6 +604,8 @@
         self.configuration = configuration
         self.suspects = suspects
         self.lease_version = lease_version
+        self.revision = revision
+        self.uses = uses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -669,6 +684,22 @@
                     self.lease_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = EndpointUse()
+                        _elem64.read(iprot)
+                        self.uses.append(_elem64)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -694,22 +725,22 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter59 in self.holdings:
-                iter59.write(oprot)
+            for iter65 in self.holdings:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.expected is not None:
             oprot.writeFieldBegin('expected', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.expected))
-            for iter60 in self.expected:
-                iter60.write(oprot)
+            for iter66 in self.expected:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter61 in self.addresses:
-                oprot.writeString(iter61.encode('utf-8') if sys.version_info[0] == 2 else iter61)
+            for iter67 in self.addresses:
+                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration is not None:
@@ -719,14 +750,25 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter62 in self.suspects:
-                iter62.write(oprot)
+            for iter68 in self.suspects:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
             oprot.writeFieldBegin('lease_version', TType.I64, 9)
             oprot.writeI64(self.lease_version)
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 10)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.uses))
+            for iter69 in self.uses:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -816,8 +858,8 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'item', 'UTF8', None, ),  # 2
-    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
-    (4, TType.DOUBLE, 'unmet', None, None, ),  # 4
+    (3, TType.I32, 'rate', None, None, ),  # 3
+    (4, TType.I32, 'unmet', None, None, ),  # 4
     (5, TType.I32, 'waiting', None, None, ),  # 5
     (6, TType.I32, 'running', None, None, ),  # 6
 )
@@ -838,6 +880,8 @@
     (6, TType.LIST, 'uses', (TType.STRUCT, [EndpointUse, None], False), None, ),  # 6
     (7, TType.LIST, 'suspects', (TType.STRUCT, [catkinhook.thrift_gen.ttypes.Suspect, None], False), None, ),  # 7
     (8, TType.BOOL, 'stopping', None, None, ),  # 8
+    (9, TType.I64, 'known_fence', None, None, ),  # 9
+    (10, TType.I64, 'known_revision', None, None, ),  # 10
 )
 all_structs.append(Holding)
 Holding.thrift_spec = (
@@ -847,7 +891,6 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.LIST, 'adapters', (TType.STRING, 'UTF8', False), None, ),  # 5
-    (6, TType.I32, 'running', None, None, ),  # 6
 )
 all_structs.append(ExpectedItem)
 ExpectedItem.thrift_spec = (
@@ -868,6 +911,8 @@
     (7, TType.I64, 'configuration', None, None, ),  # 7
     (8, TType.LIST, 'suspects', (TType.STRUCT, [catkinhook.thrift_gen.ttypes.Suspect, None], False), None, ),  # 8
     (9, TType.I64, 'lease_version', None, None, ),  # 9
+    (10, TType.I64, 'revision', None, None, ),  # 10
+    (11, TType.LIST, 'uses', (TType.STRUCT, [EndpointUse, None], False), None, ),  # 11
 )
 all_structs.append(ConfigurationText)
 ConfigurationText.thrift_spec = (
--- a/interfaces/hosts.thrift
+++ b/interfaces/hosts.thrift
@@ -8,8 +8,8 @@
 struct ItemDemand {
   1: string service_name,
   2: string item,            // model or model/adapter, empty for a plain service
-  3: double rate,            // requests a second
-  4: double unmet,           // refused for want of capacity, a second
+  3: i32 rate,               // requests in 1,000 s
+  4: i32 unmet,              // refused for want of capacity in 1,000 s
   5: i32 waiting,
   6: i32 running,
 }
@@ -28,6 +28,8 @@
   6: list<EndpointUse> uses,
   7: list<catkinhook.Suspect> suspects,
   8: bool stopping,
+  9: i64 known_fence,        // holder whose holdings the sender knows
+  10: i64 known_revision,    // up to this revision
 }
 
 struct Holding {
@@ -36,7 +38,6 @@
   3: i64 sequence,           // orders accepted since its start
   4: list<string> models,    // that may be routed there
   5: list<string> adapters,  // as model/adapter
-  6: i32 running,            // requests of all hosts in progress there
 }
 
 struct ExpectedItem {
@@ -49,12 +50,14 @@
   1: string node,
   2: i64 fence,
   3: bool holds,             // false when the sender does not hold the lease
-  4: list<Holding> holdings,
+  4: list<Holding> holdings, // that changed since the revision that the host knows
   5: list<ExpectedItem> expected,
   6: list<string> addresses, // of all hosts that reported lately
   7: i64 configuration,
   8: list<catkinhook.Suspect> suspects,
   9: i64 lease_version,      // version of the lease row in the store
+  10: i64 revision,          // of the holdings
+  11: list<EndpointUse> uses,// requests of all hosts in progress
 }
 
 struct ConfigurationText {
