Start request threads only when all others are busy

Cause: 230 threads a host at start left no room for the 75 and 88 hosts of the grown sites. Change: GrowingDispatcher adds a thread when no other is idle, up to the same limit.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -25,7 +25,7 @@
 from catkinhook.hoststate import HostState
 from catkinhook.kernel import Kernel
 from catkinhook.leasekeeper import LeaseKeeper
-from catkinhook.listening import Server
+from catkinhook.listening import GrowingDispatcher, Server
 from catkinhook.orderlease import OrderLease
 from catkinhook.peers import COMPACT, PeerPool, PeerServer
 from catkinhook.provisioning import Provisioner
@@ -112,6 +112,7 @@
             host=host,
             port=port,
             threads=self._threads,
+            dispatcher=GrowingDispatcher(self._threads),
             backlog=1024,
             connection_limit=CONNECTION_LIMIT,
             max_request_header_size=MAX_HEADER_BYTES,
--- a/catkinhook/listening.py
+++ b/catkinhook/listening.py
@@ -4,7 +4,7 @@
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.server import TcpWSGIServer
-from waitress.task import ErrorTask, WSGITask
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.settings import KIB
@@ -36,6 +36,27 @@
         self.header_lines = tuple((name, value.strip(" \t")) for name, _, value in pairs)
 
 
+class GrowingDispatcher(ThreadedTaskDispatcher):
+    """waitress's threads, started only when all others are busy.
+
+    :param limit: most threads.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__()
+        self._limit = limit
+        self.set_thread_count(1)
+
+    def add_task(self, task: HTTPChannel) -> None:
+        """Queue a task, and start a thread for it when none is idle."""
+        with self.lock:
+            busy = self.active_count + len(self.queue)
+            count = len(self.threads) - self.stop_count
+        if busy >= count and count < self._limit and not self.stop_count:
+            self.set_thread_count(count + 1)
+        super().add_task(task)
+
+
 class Task(WSGITask):
     """Request whose environment tells whether its caller is behind."""
 
