Judge an endpoint's silence by all requests, and take a lease of an own ended process at once

Change: an endpoint is dark when no request of the host hears it; a host takes over a lease row that an earlier process of its own wrote; a holder that gave the lease back is not waited for.

--- a/catkinhook/attempts.py
+++ b/catkinhook/attempts.py
@@ -113,8 +113,8 @@
 
     def send_raw(
         self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
-    ) -> http.client.HTTPResponse:
-        """Send exactly these headers and read the head of the answer.
+    ) -> None:
+        """Send exactly these headers; ``read_head`` returns the answer.
 
         ``request`` would add headers of its own, and joins those that have the same name.
 
@@ -130,6 +130,9 @@
             self.send(held + body)
         finally:
             self._held = None
+
+    def read_head(self) -> http.client.HTTPResponse:
+        """Read the head of the answer to ``send_raw``."""
         return http.client.HTTPConnection.getresponse(self)
 
     def send(self, data: bytes) -> None:
--- a/catkinhook/forwarding.py
+++ b/catkinhook/forwarding.py
@@ -17,17 +17,13 @@
 from catkinhook.scheduling import Scheduler, Ticket
 from catkinhook.stateactor import Owned
 from catkinhook.watch import CallerWatch
-from catkinhook.work import Decision, Placed, Work
+from catkinhook.work import Decision, Placed, Work, patience
 
 STEP = "forwarding"
 # Attempts of one request, those included that an endpoint refused without running them.
 MAX_SENDS = 6
-# Silence of an endpoint after which a stream that may go on elsewhere does so: a time, or a
-# multiple of the pause that the route allows.
-SILENCE_S = 1.0
-SILENCE_GAPS = 4.0
-# Silence before the first event, as a multiple of the objective.
-FIRST_SILENCE_OBJECTIVES = 2.0
+# Part of a caller's patience after which a stream is given up on an endpoint that others hear.
+SILENCE_SHARE = 0.9
 # Part of the time left that one attempt may take when another one could follow.
 ATTEMPT_SHARE = 0.6
 # Time that an answer needs to reach its caller before the deadline.
@@ -352,7 +348,7 @@
         if not self._may_repeat():
             return left
         if route.is_stream:
-            return min(left, max(SILENCE_S, FIRST_SILENCE_OBJECTIVES * route.objective_s))
+            return min(left, SILENCE_SHARE * patience(route))
         return max(MIN_TIME_S, left * ATTEMPT_SHARE)
 
     def _silence(self) -> float:
@@ -362,7 +358,7 @@
             return left
         if self.first_at is None:
             return self._head_timeout(left)
-        return min(left, max(SILENCE_S, SILENCE_GAPS * route.gap_s))
+        return min(left, SILENCE_SHARE * patience(route))
 
     def _may_repeat(self) -> bool:
         return self.work.is_repeatable and self.runs + 1 < self.work.route.max_attempts
--- a/catkinhook/holderlink.py
+++ b/catkinhook/holderlink.py
@@ -230,6 +230,9 @@
             if view.configuration > self._find_version():
                 self._fetch_newer()
             self._apply(view)
+        elif view is not None:
+            # The lease was given back, so that another host can take it at once.
+            self._view_at = float("-inf")
         is_heard = self.is_heard()
         if is_heard != self._was_heard:
             self._was_heard = is_heard
--- a/catkinhook/leasekeeper.py
+++ b/catkinhook/leasekeeper.py
@@ -13,7 +13,7 @@
 # Seconds between looks at the lease.
 POLL_S = 0.25
 # Seconds between reads of the row while its holder isn't heard.
-READ_INTERVAL_S = 0.5
+READ_INTERVAL_S = 0.4
 # Hosts that find the lease lapsed write at different times, so that most see the first write.
 TAKE_SPREAD_S = 0.2
 
--- a/catkinhook/orderlease.py
+++ b/catkinhook/orderlease.py
@@ -153,4 +153,7 @@
             return False
         if self.record is None or self.record.released:
             return True
+        if self.record.node == self._node and not self.is_own(self.record):
+            # An earlier process of this host wrote it, and has ended.
+            return True
         return now - self._changed_at >= self._lease_s + TAKE_MARGIN_S
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -14,6 +14,7 @@
 from catkinhook.forwarding import CallerLeftError, Forwarder, Reply
 from catkinhook.hoststate import HostState
 from catkinhook.listening import PARSED
+from catkinhook.liveness import EndpointEar
 from catkinhook.platform import names
 from catkinhook.platform.upstream import RequestUpstream
 from catkinhook.routes import Route, RouteTable
@@ -63,6 +64,7 @@
         self._connections = connections
         self._state = state
         self._rng = rng
+        self._ear = EndpointEar()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve one request."""
@@ -105,6 +107,7 @@
             raise _busy("the host is stopping")
         upstream = RequestUpstream(
             self._connections,
+            self._ear,
             request_id,
             inbound.method,
             inbound.target,
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -1,6 +1,7 @@
 """One caller's request at the platform's endpoints."""
 
 import http.client
+import socket
 import time
 
 from catkinhook.attempts import (
@@ -13,6 +14,7 @@
 from catkinhook.chunks import ChunkDecoder, ChunkError
 from catkinhook.errors import Ran
 from catkinhook.inflight import Outcome
+from catkinhook.liveness import EndpointEar, read_until_dark
 from catkinhook.platform import names
 from catkinhook.work import Placed
 
@@ -41,6 +43,7 @@
     def __init__(
         self,
         connections: Connections,
+        ear: EndpointEar,
         request_id: str,
         method: str,
         target: str,
@@ -49,6 +52,7 @@
         is_repeatable: bool,
     ) -> None:
         self._connections = connections
+        self._ear = ear
         self._request_id = request_id
         self._method = method
         self._target = target
@@ -76,7 +80,7 @@
             headers.append((names.LAST_EVENT_ID, str(last_event)))
         if self._body or self._method in ("POST", "PUT", "PATCH"):
             headers.append(("Content-Length", str(len(self._body))))
-        answer = EndpointAnswer(self._connections, placed, self._request_id)
+        answer = EndpointAnswer(self._connections, self._ear, placed, self._request_id)
         self._answer = answer
         if self._is_aborted:
             answer.abort()
@@ -96,8 +100,11 @@
 class EndpointAnswer:
     """An endpoint's answer; used by one thread, except for ``abort``."""
 
-    def __init__(self, connections: Connections, placed: Placed, request_id: str) -> None:
+    def __init__(
+        self, connections: Connections, ear: EndpointEar, placed: Placed, request_id: str
+    ) -> None:
         self._connections = connections
+        self._ear = ear
         self._endpoint = placed.endpoint
         self._request_id = request_id
         self._connection: CountingConnection | None = None
@@ -134,7 +141,9 @@
         if self._is_aborted:
             raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
         try:
-            self._response = connection.send_raw(method, target, headers, body)
+            connection.send_raw(method, target, headers, body)
+            self._wait_for_head(timeout_s)
+            self._response = connection.read_head()
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
             is_silent = isinstance(error, TimeoutError)
@@ -142,6 +151,15 @@
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._read_head()
 
+    def _wait_for_head(self, timeout_s: float) -> None:
+        sock = self._connection.sock
+
+        def peek(seconds: float) -> bytes:
+            sock.settimeout(seconds)
+            return sock.recv(1, socket.MSG_PEEK)
+
+        read_until_dark(peek, self._ear, self._endpoint.endpoint, timeout_s)
+
     def _read_head(self) -> None:
         response = self._response
         get = response.headers.get
@@ -203,9 +221,13 @@
             sock = self._connection.sock
             if sock is None:
                 raise ConnectionAbortedError("the connection was closed")
-            sock.settimeout(max(0.001, timeout_s))
             size = READ_BYTES if self._left is None else min(READ_BYTES, self._left)
-            data = self._response.fp.read1(size)
+
+            def read(seconds: float) -> bytes:
+                sock.settimeout(seconds)
+                return self._response.fp.read1(size)
+
+            data = read_until_dark(read, self._ear, self._endpoint.endpoint, timeout_s)
             if self._is_aborted:
                 raise ConnectionAbortedError("the caller left")
             if self._chunks is not None:
--- a/catkinhook/scheduling.py
+++ b/catkinhook/scheduling.py
@@ -35,7 +35,7 @@
 # Part of the most output tokens that an answer takes on average.
 OUTPUT_SHARE = 0.7
 # An endpoint that denied having an item is passed over for it this long.
-ABSENT_S = 0.4
+ABSENT_S = 1.2
 # Bounds on the seconds after which a refused caller is told to come back.
 RETRY_AFTER_MIN_S = 0.2
 RETRY_AFTER_MAX_S = 10.0
