Leave engines that can't be reached out of the copies of a model

Places were also made free seconds before the weight store's rate allowed the load. Change: hosts leave an endpoint alone for 0.8 s after it refused a connection and tell the holder, which asks it for a report and counts it as down after two failures; a load is counted against the rate before its place is made free.

--- a/catkinhook/forwarding.py
+++ b/catkinhook/forwarding.py
@@ -164,10 +164,14 @@
             return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
         return box[0]
 
-    def finish(self, placed: Placed, outcome: Outcome, is_absent: bool = False) -> None:
-        """End an attempt."""
+    def finish(self, placed: Placed, outcome: Outcome, fault: str = "") -> None:
+        """End an attempt.
+
+        :param fault: ``absent`` or ``down`` when the endpoint was found so.
+        """
         now = time.monotonic()
-        self._scheduler.tell(lambda s: s.finish(placed.attempt, outcome, now, is_absent))
+        absent, down = fault == "absent", fault == "down"
+        self._scheduler.tell(lambda s: s.finish(placed.attempt, outcome, now, absent, down))
 
     def note_first(self, placed: Placed, load: tuple[int, int] | None) -> None:
         """Record the first bytes of an answer."""
@@ -512,7 +516,7 @@
             self.ran = Ran.UNKNOWN
             self.runs += 1
         self._forwarder.record_attempt(self, placed, error)
-        self._forwarder.finish(placed, error.outcome, error.fault == "absent")
+        self._forwarder.finish(placed, error.outcome, error.fault)
 
     def _may_try_again(self, error: AttemptError) -> bool:
         if error.outcome is Outcome.CANCELLED or self.sends >= MAX_SENDS:
--- a/catkinhook/holderlink.py
+++ b/catkinhook/holderlink.py
@@ -164,11 +164,11 @@
 
         life = SUSPECT_REPEAT_S if self._known[0] else float("inf")
 
-        def summarise(scheduler: Scheduler) -> tuple[dict, dict, list[SuspectEvent]]:
+        def summarise(scheduler: Scheduler) -> tuple[dict, dict, set[str], list[SuspectEvent]]:
             events = scheduler.suspects.events(now, MAX_SUSPECTS, life)
-            return scheduler.demand(now), scheduler.running(), events
+            return scheduler.demand(now), scheduler.running(), scheduler.down(now), events
 
-        demand, running, events = self._scheduler.ask(summarise)
+        demand, running, down, events = self._scheduler.ask(summarise)
         return HostReport(
             node=self._node,
             address=self._address,
@@ -179,6 +179,7 @@
                 for key, (rate, unmet, waiting, count) in demand.items()
             },
             running_by_id=running,
+            down=frozenset(down),
             suspects=tuple(events),
             stopping=self.is_stopping,
             known_fence=self._known[0],
@@ -238,7 +239,7 @@
             self._was_heard = is_heard
             outcome = "regained" if is_heard else "lost"
             self._log.record("dependency", outcome=outcome, name="holder")
-        missing = self._scheduler.ask(lambda scheduler: scheduler.missing())
+        missing = self._scheduler.ask(lambda scheduler: scheduler.missing(time.monotonic()))
         return choose_pause(missing, view.wait_by_item if view is not None else {})
 
     def _ask_holder(self) -> HolderView | None:
--- a/catkinhook/holding.py
+++ b/catkinhook/holding.py
@@ -41,6 +41,7 @@
             self.report_by_node.pop(report.node, None)
         else:
             self.report_by_node[report.node] = (report, now)
+            self.provisioner.suspect(report.down)
 
     def sum_up(self, now: float) -> None:
         for node in [n for n, (_, at) in self.report_by_node.items() if now - at > REPORT_LIFE_S]:
--- a/catkinhook/hostmessages.py
+++ b/catkinhook/hostmessages.py
@@ -25,6 +25,7 @@
     :ivar configuration: version in force there.
     :ivar demand_by_item: demand by service and item.
     :ivar running_by_id: its requests in progress by endpoint.
+    :ivar down: endpoints that it could not reach lately.
     :ivar known_fence: fencing token of the holder whose holdings it knows.
     :ivar known_revision: revision of the holdings that it knows.
     """
@@ -35,6 +36,7 @@
     configuration: int
     demand_by_item: dict[tuple[str, str], Demand]
     running_by_id: dict[str, int]
+    down: frozenset[str] = frozenset()
     suspects: tuple[SuspectEvent, ...] = ()
     stopping: bool = False
     known_fence: int = 0
@@ -116,6 +118,7 @@
         stopping=report.stopping,
         known_fence=report.known_fence,
         known_revision=report.known_revision,
+        down=sorted(report.down),
     )
 
 
@@ -144,6 +147,7 @@
         stopping=struct.stopping,
         known_fence=struct.known_fence,
         known_revision=struct.known_revision,
+        down=frozenset(struct.down),
     )
 
 
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -136,7 +136,8 @@
         except CONNECTION_ERRORS as error:
             is_refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
             outcome = Outcome.CRASHED if is_refused else Outcome.NOT_RUN
-            raise self._error(f"can't be reached: {error}", Ran.NO, outcome) from error
+            reason = f"can't be reached: {error}"
+            raise self._error(reason, Ran.NO, outcome, fault="down") from error
         self._connection = connection
         if self._is_aborted:
             raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
--- a/catkinhook/provisioning.py
+++ b/catkinhook/provisioning.py
@@ -42,6 +42,8 @@
 # Seconds between reports of an engine that has nothing to do, and while it carries out an order.
 IDLE_REPORT_S = 2.5
 BUSY_REPORT_S = 0.2
+# An engine that gave no report this often in a row counts as down.
+FAILURES_TO_DOWN = 2
 # Orders with a lost answer are settled by a report that is this much younger.
 LOST_SETTLE_S = 0.5
 
@@ -96,6 +98,9 @@
     :ivar open_order: order for a model that is carried out.
     :ivar sending: order whose answer has not arrived.
     :ivar settle_at: a report from after this time tells what became of a lost answer.
+    :ivar planned: model to load as soon as its place is free.
+    :ivar failures: reports in a row that it did not give.
+    :ivar is_doubted: a host could not reach it, so that it is asked for a report now.
     """
 
     view: EndpointView
@@ -112,6 +117,14 @@
     loaded_at: dict[str, float] = attrs.Factory(dict)
     used_at: dict[str, float] = attrs.Factory(dict)
     running: int = 0
+    planned: str = ""
+    failures: int = 0
+    is_doubted: bool = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it counts as a place for models."""
+        return not self.view.leaving and self.failures < FAILURES_TO_DOWN
 
     @property
     def is_free(self) -> bool:
@@ -121,7 +134,7 @@
             and self.sending is None
             and self.open_order is None
             and self.settle_at is None
-            and not self.view.leaving
+            and self.is_usable
         )
 
     def held_adapters(self) -> set[str]:
@@ -214,6 +227,12 @@
             for book in self._books.values():
                 book.used_at[item] = now
 
+    def suspect(self, endpoints: Iterable[str]) -> None:
+        """Ask engines that some host could not reach for a report."""
+        for endpoint in endpoints:
+            if endpoint in self._books:
+                self._books[endpoint].is_doubted = True
+
     def set_running(self, running_by_id: dict[str, int]) -> None:
         """Take over the requests of all hosts in progress by endpoint."""
         for endpoint, book in self._books.items():
@@ -226,8 +245,13 @@
         :param asked_at: time at which it was asked.
         """
         book = self._books.get(endpoint)
-        if book is None or state is None:
+        if book is None:
+            return
+        book.is_doubted = False
+        if state is None:
+            book.failures += 1
             return
+        book.failures = 0
         if state.boot_id != book.view.boot_id:
             # The entry of the restarted engine has not arrived yet.
             book.sequence = -1
@@ -351,6 +375,8 @@
         order = book.open_order
         if book.sequence < 0 or book.settle_at is not None:
             return BUSY_REPORT_S
+        if book.is_doubted or book.failures:
+            return BUSY_REPORT_S
         if order is not None and (order.done_at == float("inf") or now >= order.done_at):
             return BUSY_REPORT_S
         return IDLE_REPORT_S
@@ -372,7 +398,7 @@
     def _plan_models(
         self, service: str, spec: EngineSpec, books: list[Book], now: float
     ) -> list[Command]:
-        commands = []
+        commands = self._load_planned(spec, books, now)
         demand = self._model_demand(service)
         for name, gain in self._needs(spec, books, demand):
             model = spec.model_by_name[name]
@@ -381,20 +407,36 @@
             if found is None:
                 continue
             book, victim, seconds = found
+            is_free = book.is_free and self._may_load(book, model, spec, now)
             if is_missing:
                 for (owner, item), wanted in self._demand.items():
                     is_of_model = owner == service and item.partition("/")[0] == name
                     if is_of_model and (wanted.waiting or wanted.unmet):
                         self._expected[owner, item] = now + seconds
-            if not book.is_free:
+            if not is_free:
                 continue
             if victim:
+                book.planned = name
                 commands.append(self._send(book, False, victim, "", now))
-            elif self._may_load(book, model, spec, now):
+            else:
                 commands.append(self._send(book, True, name, "", now))
         self._expect_loading(service, books)
         return commands
 
+    def _load_planned(self, spec: EngineSpec, books: list[Book], now: float) -> list[Command]:
+        """Load what places were made free for; its load was counted then."""
+        commands = []
+        for book in books:
+            model = spec.model_by_name.get(book.planned)
+            if not book.planned or not book.is_free:
+                continue
+            name, book.planned = book.planned, ""
+            if model is None or name in book.adapters:
+                continue
+            if book.memory_mb(spec) + model.memory_mb <= spec.memory_mb:
+                commands.append(self._send(book, True, name, "", now))
+        return commands
+
     def _model_demand(self, service: str) -> dict[str, Demand]:
         total: dict[str, Demand] = {}
         for (owner, item), demand in self._demand.items():
@@ -412,7 +454,7 @@
             if name not in spec.model_by_name:
                 continue
             copies = _copies(books, name)
-            coming = [b for b in books if _is_loading(b, name) and not b.view.leaving]
+            coming = [b for b in books if _is_loading(b, name) and b.is_usable]
             if coming:
                 continue
             lasting = wanted.waiting + HORIZON_S * max(wanted.rate, wanted.unmet)
@@ -440,9 +482,9 @@
         """Return the engine for a copy, the model to drop there first, and the seconds it takes."""
         best: tuple[float, Book, str, float] | None = None
         for book in books:
-            if book.view.leaving or book.sequence < 0 or model.name in book.adapters:
+            if not book.is_usable or book.sequence < 0 or model.name in book.adapters:
                 continue
-            if book.settle_at is not None or _is_loading(book, model.name):
+            if book.settle_at is not None or book.planned:
                 continue
             seconds = book.load_seconds(model)
             order = book.open_order
@@ -493,7 +535,7 @@
     def _expect_loading(self, service: str, books: list[Book]) -> None:
         for book in books:
             order = book.open_order
-            if order is None or not order.order.is_load or book.view.leaving:
+            if order is None or not order.order.is_load or not book.is_usable:
                 continue
             name = order.order.model
             for owner, item in self._demand:
@@ -525,7 +567,7 @@
         for demand, item in sorted(wanted, key=lambda pair: -pair[0].waiting):
             name, _, adapter = item.partition("/")
             model = spec.model_by_name.get(name)
-            holders = [b for b in books if name in b.usable_models() and not b.view.leaving]
+            holders = _copies(books, name)
             if model is None or not holders:
                 continue
             coming = [b.incoming[item] for b in holders if item in b.incoming]
@@ -581,10 +623,12 @@
 
 
 def _copies(books: list[Book], name: str) -> list[Book]:
-    return [b for b in books if name in b.usable_models() and not b.view.leaving]
+    return [b for b in books if name in b.usable_models() and b.is_usable]
 
 
 def _is_loading(book: Book, name: str) -> bool:
+    if book.planned == name:
+        return True
     orders = (book.sending, book.open_order.order if book.open_order else None)
     return any(o is not None and o.is_load and o.model == name and not o.adapter for o in orders)
 
--- a/catkinhook/scheduling.py
+++ b/catkinhook/scheduling.py
@@ -36,6 +36,8 @@
 OUTPUT_SHARE = 0.7
 # An endpoint that denied having an item is passed over for it this long.
 ABSENT_S = 1.2
+# An endpoint that refused a connection is left alone for this long.
+DOWN_S = 0.8
 # Bounds on the seconds after which a refused caller is told to come back.
 RETRY_AFTER_MIN_S = 0.2
 RETRY_AFTER_MAX_S = 10.0
@@ -110,6 +112,7 @@
         self._demand_by_item: dict[tuple[str, str], ItemDemand] = {}
         self._expected_by_item: dict[tuple[str, str], float] = {}
         self._absent_until: dict[tuple[str, str], float] = {}
+        self._down_until: dict[str, float] = {}
         self._window_by_service: dict[str, retries.RetryWindow] = {}
         self._pace_by_service: dict[str, _Pace] = {}
         self._estimates = Estimates()
@@ -132,11 +135,13 @@
             if known is not None and known.boot_id != view.boot_id:
                 self._prefixes.forget(endpoint)
                 self._ejections.readmit(endpoint)
+                self._down_until.pop(endpoint, None)
         gone = set(self._endpoint_by_id) - set(endpoint_by_id)
         for endpoint in gone:
             self._prefixes.forget(endpoint)
             self._load_by_id.pop(endpoint, None)
             self._tokens_by_id.pop(endpoint, None)
+            self._down_until.pop(endpoint, None)
         self._estimates.forget(gone)
         self._endpoint_by_id = dict(endpoint_by_id)
         self._index.update(self._endpoint_by_id)
@@ -224,10 +229,18 @@
         )
         self._prefixes.note(state.endpoint, work.prefixes, now)
 
-    def finish(self, attempt: int, outcome: Outcome, now: float, is_absent: bool = False) -> None:
+    def finish(
+        self,
+        attempt: int,
+        outcome: Outcome,
+        now: float,
+        is_absent: bool = False,
+        is_down: bool = False,
+    ) -> None:
         """End an attempt.
 
         :param is_absent: the endpoint denied having the item.
+        :param is_down: the endpoint can't be reached.
         """
         state = self._attempt_by_number.pop(attempt, None)
         if state is None:
@@ -239,6 +252,8 @@
         demand = self._demand(work)
         demand.in_progress = max(0, demand.in_progress - 1)
         self._pace_by_service.setdefault(work.service, _Pace()).note(now)
+        if is_down:
+            self._down_until[endpoint] = now + DOWN_S
         if is_absent:
             self._absent_until[endpoint, work.item] = now + ABSENT_S
         elif outcome is Outcome.COMPLETED:
@@ -275,10 +290,14 @@
         """Return this host's requests in progress by endpoint."""
         return {endpoint: load.own for endpoint, load in self._load_by_id.items() if load.own}
 
-    def missing(self) -> set[tuple[str, str]]:
+    def down(self, now: float) -> set[str]:
+        """Return the endpoints that could not be reached lately."""
+        return {endpoint for endpoint, until in self._down_until.items() if until > now}
+
+    def missing(self, now: float) -> set[tuple[str, str]]:
         """Return the items that requests wait for and no usable endpoint has."""
         found = {(t.work.service, t.work.item) for t in self._waiting if t.work.item}
-        return {key for key in found if not self._index.find(*key)}
+        return {key for key in found if not self._find(*key, now)}
 
     def waiting(self) -> int:
         """Return how many requests wait."""
@@ -308,7 +327,7 @@
         work = ticket.work
         holding = [
             self._endpoint_by_id[endpoint]
-            for endpoint in self._index.find(work.service, work.item)
+            for endpoint in self._find(work.service, work.item, now)
             if self._absent_until.get((endpoint, work.item), 0.0) <= now
         ]
         # An endpoint that failed once is better than none, but only for what may be repeated.
@@ -321,6 +340,10 @@
             lambda view: self._ejections.end_of(view.endpoint),
         )
 
+    def _find(self, service: str, item: str, now: float) -> list[str]:
+        found = self._index.find(service, item)
+        return [endpoint for endpoint in found if self._down_until.get(endpoint, 0.0) <= now]
+
     def _has_room(self, view: EndpointView, work: Work) -> bool:
         load = self._load(view.endpoint).current()
         if not work.item:
@@ -385,7 +408,7 @@
         """Return when a waiting request can start, and why it waits."""
         work = ticket.work
         key = (work.service, work.item)
-        if self._index.find(*key):
+        if self._find(*key, now):
             pace = self._pace_by_service.get(work.service, _Pace()).seconds
             return now + pace * (ahead + 1), f"all endpoints of {work.service!r} are full"
         expected = self._expected_by_item.get(key)
--- a/catkinhook/thrift_hosts/ttypes.py
+++ b/catkinhook/thrift_hosts/ttypes.py
@@ -210,11 +210,12 @@
      - stopping
      - known_fence
      - known_revision
+     - down
 
     """
 
 
-    def __init__(self, node=None, address=None, incarnation=None, configuration=None, items=None, uses=None, suspects=None, stopping=None, known_fence=None, known_revision=None,):
+    def __init__(self, node=None, address=None, incarnation=None, configuration=None, items=None, uses=None, suspects=None, stopping=None, known_fence=None, known_revision=None, down=None,):
         self.node = node
         self.address = address
         self.incarnation = incarnation
@@ -225,6 +226,7 @@
         self.stopping = stopping
         self.known_fence = known_fence
         self.known_revision = known_revision
+        self.down = down
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -303,6 +305,16 @@
                     self.known_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.down = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.down.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -332,22 +344,22 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter18 in self.items:
-                iter18.write(oprot)
+            for iter24 in self.items:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter19 in self.uses:
-                iter19.write(oprot)
+            for iter25 in self.uses:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter20 in self.suspects:
-                iter20.write(oprot)
+            for iter26 in self.suspects:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stopping is not None:
@@ -362,6 +374,13 @@
             oprot.writeFieldBegin('known_revision', TType.I64, 10)
             oprot.writeI64(self.known_revision)
             oprot.writeFieldEnd()
+        if self.down is not None:
+            oprot.writeFieldBegin('down', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.down))
+            for iter27 in self.down:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -426,20 +445,20 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.adapters.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.adapters.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -468,15 +487,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter33 in self.models:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter40 in self.models:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter34 in self.adapters:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter41 in self.adapters:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -634,32 +653,32 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Holding()
-                        _elem40.read(iprot)
-                        self.holdings.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Holding()
+                        _elem47.read(iprot)
+                        self.holdings.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.expected = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = ExpectedItem()
-                        _elem46.read(iprot)
-                        self.expected.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = ExpectedItem()
+                        _elem53.read(iprot)
+                        self.expected.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -671,11 +690,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = catkinhook.thrift_gen.ttypes.Suspect()
-                        _elem58.read(iprot)
-                        self.suspects.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = catkinhook.thrift_gen.ttypes.Suspect()
+                        _elem65.read(iprot)
+                        self.suspects.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -692,11 +711,11 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = EndpointUse()
-                        _elem64.read(iprot)
-                        self.uses.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = EndpointUse()
+                        _elem71.read(iprot)
+                        self.uses.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -725,22 +744,22 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter65 in self.holdings:
-                iter65.write(oprot)
+            for iter72 in self.holdings:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.expected is not None:
             oprot.writeFieldBegin('expected', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.expected))
-            for iter66 in self.expected:
-                iter66.write(oprot)
+            for iter73 in self.expected:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter67 in self.addresses:
-                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
+            for iter74 in self.addresses:
+                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration is not None:
@@ -750,8 +769,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter68 in self.suspects:
-                iter68.write(oprot)
+            for iter75 in self.suspects:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
@@ -765,8 +784,8 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter69 in self.uses:
-                iter69.write(oprot)
+            for iter76 in self.uses:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -882,6 +901,7 @@
     (8, TType.BOOL, 'stopping', None, None, ),  # 8
     (9, TType.I64, 'known_fence', None, None, ),  # 9
     (10, TType.I64, 'known_revision', None, None, ),  # 10
+    (11, TType.LIST, 'down', (TType.STRING, 'UTF8', False), None, ),  # 11
 )
 all_structs.append(Holding)
 Holding.thrift_spec = (
--- a/interfaces/hosts.thrift
+++ b/interfaces/hosts.thrift
@@ -30,6 +30,7 @@
   8: bool stopping,
   9: i64 known_fence,        // holder whose holdings the sender knows
   10: i64 known_revision,    // up to this revision
+  11: list<string> down,     // endpoints that the sender could not reach lately
 }
 
 struct Holding {
