Give every model a copy on a disk before traffic, and move models only for a gain

Cause: copies were spread at the cost of the models that many engines held, which were the busy ones; a rare model was loaded from the weight store for 8 s on the only engine of a busy model with adapters. Change: only rare models without adapters make way before traffic; models with adapters get two copies; a move must gain more requests than its victim and its delay of adapters lose.

--- a/catkinhook/platform/records.py
+++ b/catkinhook/platform/records.py
@@ -142,6 +142,7 @@
         disk_load_s=_number(record, "disk_s", load),
         memory_load_s=_number(record, "warm_s", load),
         adapter_mb=_number(record, "adapter_mb", 0),
+        adapters=int(_number(record, "adapters", 0)),
     )
 
 
--- a/catkinhook/provisioning.py
+++ b/catkinhook/provisioning.py
@@ -38,6 +38,10 @@
 ADAPTER_CROWD = 12
 # Seconds for which a need is reckoned to last, to weigh it against the loss of another model.
 HORIZON_S = 5.0
+# Gain of a first copy beyond its requests, so that each model is served now and then.
+MISSING_GAIN = 3.0
+# Part of a request that is lost for each second of its wait.
+DELAY_COST = 0.25
 # A model is moved only for a gain of this many requests.
 MIN_GAIN = 0.3
 # Reports are as of up to this many seconds before they are read.
@@ -47,8 +51,6 @@
 BUSY_REPORT_S = 0.2
 # Time that an engine takes to drop a model that no request uses.
 UNLOAD_S = 0.02
-# Engines that should have a model in memory or on disk before traffic comes.
-SPREAD_COPIES = 2
 # An engine that gave no report this often in a row counts as down.
 FAILURES_TO_DOWN = 2
 # Orders with a lost answer are settled by a report that is this much younger.
@@ -471,28 +473,46 @@
             # One load an engine ends before traffic comes.
             if not book.is_free or book.planned or book.loaded_at:
                 continue
-            absent = set(known) - set(book.adapters) - book.on_disk
-            name = min(absent, key=lambda n: (known[n], n), default="")
-            if not name or known[name] >= SPREAD_COPIES:
+            wanted = [
+                model
+                for name, model in spec.model_by_name.items()
+                if name not in book.adapters and name not in book.on_disk
+                # Models with adapters have the most callers, and their demand moves most.
+                and known[name] < (2 if model.adapters else 1)
+            ]
+            model = min(wanted, key=lambda m: (known[m.name], m.name), default=None)
+            if model is None:
                 continue
-            model = spec.model_by_name[name]
             victim = ""
             if book.memory_mb(spec) + model.memory_mb > spec.memory_mb:
-                victim = max(book.adapters, key=lambda n: (resident.get(n, 0), n), default="")
-                # The model that makes way stays on an engine, on two if the other has a copy.
-                if resident.get(victim, 0) < SPREAD_COPIES + known[name]:
+                victim = self._choose_spare(spec, book, resident)
+                if not victim:
                     continue
             if not self._may_load(book, model, spec, now):
                 break
-            known[name] += 1
+            known[model.name] += 1
             if victim:
                 resident[victim] -= 1
-                book.planned = name
+                book.planned = model.name
                 commands.append(self._send(book, False, victim, "", now))
             else:
-                commands.append(self._send(book, True, name, "", now))
+                commands.append(self._send(book, True, model.name, "", now))
         return commands
 
+    def _choose_spare(self, spec: EngineSpec, book: Book, resident: dict[str, int]) -> str:
+        """Return a model that can come back from the engine's own disk, rare ones first.
+
+        What many engines hold at the start was busy before.
+        """
+        spare = [
+            name
+            for name in book.adapters
+            if name in book.on_disk
+            and name in spec.model_by_name
+            and not spec.model_by_name[name].adapters
+        ]
+        return min(spare, key=lambda name: (resident[name], name), default="")
+
     def _model_demand(self, service: str) -> dict[str, Demand]:
         total: dict[str, Demand] = {}
         for (owner, item), demand in self._demand.items():
@@ -516,7 +536,7 @@
             lasting = wanted.waiting + HORIZON_S * max(wanted.rate, wanted.unmet)
             if not copies:
                 if lasting > MIN_GAIN:
-                    needs.append((name, 10.0 + 10.0 * lasting))
+                    needs.append((name, MISSING_GAIN + 2.0 * lasting))
                 continue
             places = spec.slots * len(copies)
             crowded = wanted.running + wanted.waiting - CROWDED_SHARE * places
@@ -551,13 +571,14 @@
             victim, loss = "", 0.0
             if book.memory_mb(spec) + model.memory_mb > spec.memory_mb:
                 found = self._choose_victim(spec, books, book, demand, now)
-                if found is None or found[1] + MIN_GAIN >= gain:
+                if found is None:
                     continue
                 victim, loss = found
-            # A request that waits loses about as much in a second as a refused one in ten.
-            cost = seconds * (1.0 + 0.1 * gain) + loss + 0.02 * book.running
-            # No adapter can be brought there meanwhile.
-            cost += seconds * self._adapter_rate(book, books)
+            # No adapter can be brought there meanwhile, but most of those who wait stay.
+            loss += DELAY_COST * seconds * self._adapter_rate(book, books)
+            if loss + MIN_GAIN >= gain:
+                continue
+            cost = loss + DELAY_COST * seconds * gain + 0.02 * book.running
             if best is None or cost < best[0]:
                 best = (cost, book, victim, seconds)
         return None if best is None else best[1:]
--- a/catkinhook/routes.py
+++ b/catkinhook/routes.py
@@ -23,6 +23,7 @@
     :ivar disk_load_s: seconds to load it from an endpoint's own disk.
     :ivar memory_load_s: seconds to load it from an endpoint's host memory.
     :ivar adapter_mb: accelerator memory of each adapter.
+    :ivar adapters: number of adapters that callers may ask for.
     """
 
     name: str
@@ -31,6 +32,7 @@
     disk_load_s: float
     memory_load_s: float
     adapter_mb: float = 0.0
+    adapters: int = 0
 
 
 @attrs.frozen(kw_only=True)
