Refuse what waits when a host stops, and wait longer before an endpoint counts as dark

Change: waiting requests are refused at SIGTERM, truthfully; dark after 1.8 s. A host test against stand-ins covers answers, repeats, refusals, configuration, drain and stop.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -151,6 +151,7 @@
         self.log = DecisionLog(settings.node, self.metrics.registry)
         self.state = HostState(MAX_REQUESTS, bounds.grace_s, self._explain_unready, self.log)
         scheduler = Owned(Scheduler(settings.zone, origin, bounds, random.Random()))
+        self._scheduler = scheduler
         connections = Connections()
         watch = CallerWatch(CALLER_CHECK_S)
         secret = make_secret(settings)
@@ -259,6 +260,7 @@
         began = time.monotonic()
         self.state.stop()
         self.log.record("process", outcome="stopping", in_progress=self.state.in_progress)
+        self._scheduler.tell(lambda scheduler: scheduler.stop(began))
         self.link.is_stopping = True
         self.lease.resign()
         end = began + self._settings.bounds.grace_s - END_MARGIN_S
--- a/catkinhook/liveness.py
+++ b/catkinhook/liveness.py
@@ -5,8 +5,9 @@
 
 from catkinhook.clocks import Clock, monotonic
 
-# An endpoint that sent nothing to any request for this long counts as dark.
-DARK_S = 1.0
+# An endpoint that sent nothing to any request for this long counts as dark. An engine that reads
+# several long prompts is silent for over a second; callers leave a stream after two at least.
+DARK_S = 1.8
 MAX_ENDPOINTS = 4096
 
 
--- a/catkinhook/provisioning.py
+++ b/catkinhook/provisioning.py
@@ -40,6 +40,8 @@
 HORIZON_S = 5.0
 # Gain of a first copy beyond its requests, so that each model is served now and then.
 MISSING_GAIN = 3.0
+# Seconds until an engine has a place, when none has one now.
+NEXT_PLACE_S = 1.0
 # Part of a request that is lost for each second of its wait.
 DELAY_COST = 0.25
 # A model is moved only for a gain of this many requests.
@@ -423,15 +425,14 @@
             model = spec.model_by_name[name]
             is_missing = not _copies(books, name)
             found = self._choose_engine(spec, books, demand, model, gain, now)
+            if is_missing:
+                # Without a place now, the next one is likely to be free soon.
+                wait = found[2] if found else model.disk_load_s + NEXT_PLACE_S
+                self._expect(service, name, now + wait)
             if found is None:
                 continue
-            book, victim, seconds = found
+            book, victim, _ = found
             is_free = book.is_free and self._may_load(book, model, spec, now)
-            if is_missing:
-                for (owner, item), wanted in self._demand.items():
-                    is_of_model = owner == service and item.partition("/")[0] == name
-                    if is_of_model and (wanted.waiting or wanted.unmet):
-                        self._expected[owner, item] = now + seconds
             if not is_free:
                 continue
             if victim:
@@ -442,6 +443,12 @@
         self._expect_loading(service, books)
         return commands
 
+    def _expect(self, service: str, name: str, at: float) -> None:
+        for (owner, item), wanted in self._demand.items():
+            is_of_model = owner == service and item.partition("/")[0] == name
+            if is_of_model and (wanted.waiting or wanted.unmet):
+                self._expected[owner, item] = at
+
     def _load_planned(self, spec: EngineSpec, books: list[Book], now: float) -> list[Command]:
         """Load what places were made free for; its load was counted then."""
         commands = []
--- a/catkinhook/scheduling.py
+++ b/catkinhook/scheduling.py
@@ -121,6 +121,7 @@
         self._prefixes = PrefixIndex()
         self._ejections = retries.Ejections()
         self._next_attempt = 1
+        self._is_stopping = False
         self.hosts = 1
         self.suspects = Suspects(origin)
 
@@ -149,6 +150,11 @@
         self._index.update(self._endpoint_by_id)
         self.serve_waiting(now)
 
+    def stop(self, now: float) -> None:
+        """Refuse what waits and what would have to wait, because this host stops."""
+        self._is_stopping = True
+        self.serve_waiting(now)
+
     def set_expected(self, seconds_by_item: dict[tuple[str, str], float], now: float) -> None:
         """Take over in how many seconds missing items will be available."""
         self._expected_by_item = {item: now + s for item, s in seconds_by_item.items()}
@@ -399,7 +405,10 @@
         work = ticket.work
         limit = work.gives_up_at() - START_MARGIN_S
         ready_at, reason = self._predict_start(ticket, ahead, now)
-        if ready_at <= limit and len(self._waiting) <= MAX_WAITING:
+        if self._is_stopping:
+            # Another host can let it wait for longer than this one lives.
+            ready_at, reason = now, f"the host is stopping; {reason}"
+        elif ready_at <= limit and len(self._waiting) <= MAX_WAITING:
             return None
         wait = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, ready_at - now))
         if not math.isfinite(wait):
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,367 @@
+"""Small stand-ins for the platform's store and endpoints, with switches for faults."""
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+import attrs
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+
+class StandIn:
+    """HTTP server around one handler class.
+
+    :ivar address: ``IP:port``.
+    """
+
+    def __init__(self) -> None:
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args: object) -> None:
+                pass
+
+            def do_GET(self) -> None:  # noqa: N802
+                outer.handle(self)
+
+            do_POST = do_GET  # noqa: N815
+
+        self._server = _Server(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+
+    def start(self) -> None:
+        """Serve."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def handle(self, request: BaseHTTPRequestHandler) -> None:
+        """Answer one request."""
+        raise AssertionError("every stand-in answers")
+
+
+def send_json(request: BaseHTTPRequestHandler, status: int, value: object, **headers: str) -> None:
+    """Answer with JSON."""
+    body = json.dumps(value).encode()
+    request.send_response(status)
+    for name, text in headers.items():
+        request.send_header(name.replace("_", "-"), text)
+    request.send_header("Content-Length", str(len(body)))
+    request.end_headers()
+    request.wfile.write(body)
+
+
+def read_body(request: BaseHTTPRequestHandler) -> bytes:
+    """Return the body of a request."""
+    return request.rfile.read(int(request.headers.get("Content-Length") or 0))
+
+
+class FakeStore(StandIn):
+    """Tables of the store.
+
+    :ivar status: status of every answer, 0 to work.
+    :ivar lose_answers: writes that are done and not answered.
+    :ivar history_from: oldest version whose changes are still known.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rows: dict[tuple[str, str], tuple[int, str]] = {}
+        self.changes: list[tuple[int, str, str, str | None]] = []
+        self.version = 1
+        self.status = 0
+        self.lose_answers = 0
+        self.history_from = 0
+        self.calls: list[str] = []
+        self._lock = threading.Lock()
+
+    def put(self, table: str, key: str, value: object) -> int:
+        """Write a row."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return self._write(table, key, base64.b64encode(raw).decode())
+
+    def drop(self, table: str, key: str) -> None:
+        """Drop a row."""
+        with self._lock:
+            self.version += 1
+            self.rows.pop((table, key), None)
+            self.changes.append((self.version, table, key, None))
+
+    def _write(self, table: str, key: str, value: str) -> int:
+        with self._lock:
+            self.version += 1
+            self.rows[table, key] = (self.version, value)
+            self.changes.append((self.version, table, key, value))
+            return self.version
+
+    def handle(self, request: BaseHTTPRequestHandler) -> None:
+        """Answer one call."""
+        body = read_body(request)
+        url = urlsplit(request.path)
+        self.calls.append(url.path)
+        if self.status:
+            send_json(request, self.status, {})
+            return
+        fields = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/rows-tx":
+            self._transact(request, json.loads(body))
+        elif url.path == "/rows-get":
+            send_json(request, 200, self._list(fields))
+        else:
+            self._feed(request, fields)
+
+    def _row(self, table: str, key: str) -> dict:
+        version, value = self.rows[table, key]
+        return {"table": table, "part": "", "key": key, "value": value, "ver": version}
+
+    def _list(self, fields: dict) -> dict:
+        keys = sorted(
+            k for t, k in self.rows if t == fields["table"] and k >= fields.get("from", "")
+        )
+        limit = int(fields.get("limit", 500))
+        rows = [self._row(fields["table"], key) for key in keys[:limit]]
+        return {"rows": rows, "more_pages": len(keys) > limit, "ver": self.version, "now_ms": 1}
+
+    def _feed(self, request: BaseHTTPRequestHandler, fields: dict) -> None:
+        after = int(fields["after"])
+        if after < self.history_from:
+            send_json(request, 410, {})
+            return
+        deadline = time.monotonic() + int(fields["wait_ms"]) / 1000
+        while True:
+            found = [c for c in list(self.changes) if c[0] > after and c[1] == fields["table"]]
+            if found or time.monotonic() > deadline:
+                break
+            time.sleep(0.005)
+        rows = [
+            {"key": key, "value": value or "", "ver": version, "tombstone": value is None}
+            for version, _, key, value in found
+        ]
+        send_json(request, 200, {"rows": rows, "ver": self.version, "now_ms": 1})
+
+    def _transact(self, request: BaseHTTPRequestHandler, fields: dict) -> None:
+        for row in fields["expected"]:
+            current = self.rows.get((row["table"], row["key"]), (0, ""))[0]
+            if current != row["ver"]:
+                rows = [self._row(row["table"], row["key"])] if current else []
+                send_json(request, 412, {"rows": rows, "ver": self.version, "now_ms": 1})
+                return
+        version = 0
+        for row in fields["writes"]:
+            version = self._write(row["table"], row["key"], row["value"])
+        if self.lose_answers:
+            self.lose_answers -= 1
+            request.close_connection = True
+            return
+        send_json(request, 200, {"ver": version, "now_ms": 1})
+
+
+@attrs.define
+class Seen:
+    """A request that reached an endpoint."""
+
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    def get(self, name: str) -> str | None:
+        """Return the value of a header."""
+        return next((v for n, v in self.headers if n.lower() == name.lower()), None)
+
+
+class FakeEndpoint(StandIn):
+    """A plain endpoint or an engine.
+
+    :ivar fault: what is wrong with the next answers: ``""``, ``not-run``, ``misdirected``,
+        ``crossed``, ``cut``, ``reset``, ``unsigned``, ``error``, ``extra``.
+    :ivar events: events of a stream.
+    :ivar stop_after: events after which a stream that was not resumed breaks off, 0 for none.
+    """
+
+    def __init__(self, endpoint: str, models: tuple[str, ...] = ()) -> None:
+        super().__init__()
+        self.endpoint = endpoint
+        self.models = {model: set() for model in models}
+        self.sequence = 0
+        self.fault = ""
+        self.events = 5
+        self.stop_after = 0
+        self.gap_s = 0.0
+        self.seen: list[Seen] = []
+        self.orders: list[dict] = []
+        self.order_status = 0
+
+    def entry(self, service: str, zone: str = "z1") -> dict:
+        """Return the endpoint's entry in the store."""
+        entry = {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_ms": 0,
+            "sequence": self.sequence,
+            "born": 1,
+        }
+        if self.models:
+            entry["models"] = self._models()
+        return entry
+
+    def _models(self) -> list[dict]:
+        return [
+            {"name": name, "version": 1, "adapters": sorted(adapters)}
+            for name, adapters in self.models.items()
+        ]
+
+    def handle(self, request: BaseHTTPRequestHandler) -> None:
+        """Answer one request."""
+        body = read_body(request)
+        if request.path == "/report":
+            report = {"models": self._models(), "busy": False, "sequence": self.sequence, "born": 1}
+            send_json(request, 200, report)
+        elif request.path == "/order":
+            self._order(request, json.loads(body))
+        else:
+            headers = list(request.headers.items())
+            self.seen.append(Seen(request.command, request.path, headers, body))
+            self._serve(request)
+
+    def _order(self, request: BaseHTTPRequestHandler, order: dict) -> None:
+        self.orders.append(order)
+        if self.order_status or order["expected"] != self.sequence:
+            send_json(request, self.order_status or 409, {})
+            return
+        self.sequence += 1
+        if order.get("adapter"):
+            adapters = self.models[order["model"]]
+            change = adapters.add if order["operation"] == "load" else adapters.discard
+            change(order["adapter"])
+        elif order["operation"] == "load":
+            self.models[order["model"]] = set()
+        else:
+            self.models.pop(order["model"], None)
+        send_json(request, 202, {})
+
+    def _serve(self, request: BaseHTTPRequestHandler) -> None:
+        fault, request_id = self.fault, request.headers["Attempt-Id"]
+        if fault == "not-run":
+            send_json(request, 503, {}, Not_Executed="1", Attempt_Id=request_id)
+            return
+        if fault == "misdirected":
+            send_json(request, 421, {}, Instance_Id=self.endpoint, Attempt_Id=request_id)
+            return
+        if fault == "reset":
+            request.close_connection = True
+            return
+        echoed = "0000" if fault == "crossed" else request_id
+        if request.headers.get("Model"):
+            self._stream(request, echoed)
+            return
+        body = self.endpoint.encode() * 20
+        request.send_response(500 if fault == "error" else 200)
+        request.send_header("Attempt-Id", echoed)
+        if fault != "unsigned":
+            request.send_header("Response-Seal", f"seal-{self.endpoint}")
+        request.send_header("Content-Length", str(len(body)))
+        request.end_headers()
+        if fault == "cut":
+            request.wfile.write(body[: len(body) // 2])
+            request.close_connection = True
+            return
+        request.wfile.write(body)
+        if fault == "extra":
+            request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+
+    def _stream(self, request: BaseHTTPRequestHandler, echoed: str) -> None:
+        request.send_response(200)
+        request.send_header("Attempt-Id", echoed)
+        request.send_header("Response-Seal", f"seal-{self.endpoint}")
+        request.send_header("Content-Type", "text/event-stream")
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, self.events + 1):
+            if self.stop_after and first == 1 and number > self.stop_after:
+                request.wfile.write(b"14\r\nid: %d\ndata: to" % number)
+                request.close_connection = True
+                return
+            event = b"id: %d\ndata: token%d\n\n" % (number, number)
+            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            request.wfile.flush()
+            time.sleep(self.gap_s)
+        request.wfile.write(b"0\r\n\r\n")
+
+
+MODEL = {"name": "m1", "weights_mb": 70.0, "load_s": 0.2, "adapters": 3, "adapter_mb": 1.0}
+
+
+def make_configuration(version: int = 1, **changes: object) -> dict:
+    """Return a configuration with a stream, a posting and a look-up."""
+    models = [{**MODEL, "name": name} for name in ("m1", "m2", "m3")]
+    engine = {
+        "slots": 8,
+        "kv_capacity": 100000,
+        "weights_mb": 150.0,
+        "adapter_slots": 2,
+        "loads_per_s": 5,
+        "models": models,
+    }
+    route = {"host": "h.example", "timeout_ms": 3000, "target_latency_ms": 500, "priority": 1}
+    routes = [
+        {
+            **route,
+            "name": "live",
+            "path_prefix": "/live/",
+            "kind": "stream",
+            "service": "llm",
+            "max_attempts": 2,
+            "resumable": True,
+            "gap_aim_ms": 300,
+        },
+        {
+            **route,
+            "name": "digest",
+            "path_prefix": "/digest/",
+            "kind": "stream",
+            "service": "llm",
+            "max_attempts": 1,
+            "resumable": False,
+            "gap_aim_ms": 300,
+        },
+        {
+            **route,
+            "name": "post",
+            "path_prefix": "/post/",
+            "kind": "non_idempotent",
+            "service": "desk",
+            "max_attempts": 1,
+        },
+        {
+            **route,
+            "name": "look",
+            "path_prefix": "/look/",
+            "kind": "idempotent",
+            "service": "desk",
+            "max_attempts": 2,
+        },
+    ]
+    services = [
+        {"name": "llm", "health_path": "/health", "max_conns": 100, "engine": engine},
+        {"name": "desk", "health_path": "/health", "max_conns": 100},
+    ]
+    return {"version": version, "routes": routes, "services": services, "limits": {}, **changes}
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,267 @@
+"""A whole host against stand-ins for the platform: answers, refusals, repeats, configuration."""
+
+import http.client
+import socket
+import threading
+import time
+import unittest
+from collections.abc import Callable
+
+from catkinhook.host import Host
+from catkinhook.hostsettings import Bounds, HostSettings
+from catkinhook.platform.assembly import make_platform
+from tests.platform_standin import FakeEndpoint, FakeStore, make_configuration
+
+WAIT_S = 10.0
+REQUEST_ID = "9c41d07be2a35f68"
+
+
+def wait_until(is_true: Callable[[], bool]) -> None:
+    """Wait for a condition; fails after a time that only catches a hang."""
+    deadline = time.monotonic() + WAIT_S
+    while not is_true():
+        if time.monotonic() > deadline:
+            raise AssertionError("the condition did not come true in time")
+        time.sleep(0.01)
+
+
+def find_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+class HostTest(unittest.TestCase):
+    """One host with two engines and two plain endpoints."""
+
+    def setUp(self) -> None:
+        self.store = FakeStore()
+        self.engines = [FakeEndpoint("i-e1", ("m1",)), FakeEndpoint("i-e2", ("m1", "m2"))]
+        self.desks = [FakeEndpoint("i-d1"), FakeEndpoint("i-d2")]
+        for standin in (self.store, *self.engines, *self.desks):
+            standin.start()
+            self.addCleanup(standin.close)
+        self.store.put("op", "config", make_configuration())
+        for engine in self.engines:
+            self.store.put("servers", engine.endpoint, engine.entry("llm"))
+        for desk in self.desks:
+            self.store.put("servers", desk.endpoint, desk.entry("desk"))
+        self.settings = HostSettings(
+            node="front-1",
+            zone="z1",
+            region="r1",
+            front_address=f"127.0.0.1:{find_port()}",
+            ready_address=f"127.0.0.1:{find_port()}",
+            peer_address=f"127.0.0.1:{find_port()}",
+            seeds=(),
+            store_address=self.store.address,
+            bounds=Bounds(lease_s=1.0, grace_s=4.0),
+        )
+        self.host = Host(self.settings, make_platform(self.settings))
+        self.host.kernel.start()
+        self.addCleanup(self.host.kernel.close)
+        wait_until(lambda: not self.host.state.explain_unready())
+        wait_until(lambda: self.host.lease.is_held())
+
+    def ask(
+        self, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> tuple[http.client.HTTPResponse, bytes]:
+        """Send one request and read its whole answer."""
+        connection = http.client.HTTPConnection(self.settings.front_address, timeout=WAIT_S)
+        self.addCleanup(connection.close)
+        sent = {"Host": "h.example", "Attempt-Id": REQUEST_ID, "Deadline-Ms": "3000"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.request(method, path, body or None, sent)
+        answer = connection.getresponse()
+        return answer, answer.read()
+
+    def seen(self, group: list[FakeEndpoint]) -> list:
+        """Return the requests that reached a group of endpoints."""
+        return [seen for endpoint in group for seen in endpoint.seen]
+
+    def test_answer_is_passed_on_whole(self) -> None:
+        """Guards against answers that lose their status, signature or bytes."""
+        answer, body = self.ask("POST", "/post/a%2Fb?x=%20", b"data")
+        self.assertEqual(answer.status, 200)
+        seen = self.seen(self.desks)[0]
+        self.assertEqual(body, seen.get("Expect-Instance").encode() * 20)
+        self.assertEqual(answer.headers["Response-Seal"], f"seal-{seen.get('Expect-Instance')}")
+        self.assertEqual((seen.path, seen.body), ("/post/a%2Fb?x=%20", b"data"))
+
+    def test_callers_cannot_set_the_system_headers(self) -> None:
+        """Guards against headers of callers that reserve, pin or steer engines."""
+        self.ask("GET", "/look/x", Hold="1", Pin_Ms="9", Kv_From="a", Request_Priority="0")
+        seen = self.seen(self.desks)[0]
+        for name in ("Hold", "Pin-Ms", "Kv-From", "Request-Priority", "Accept-Encoding"):
+            self.assertEqual(seen.get(name), "identity" if name == "Accept-Encoding" else None)
+        self.assertLessEqual(int(seen.get("Deadline-Ms")), 3000)
+        names = [name.lower() for name, _ in seen.headers]
+        self.assertEqual(names.count("deadline-ms"), 1)
+        self.assertNotIn("user-agent", names)
+
+    def test_unknown_route_is_404(self) -> None:
+        """Guards against requests that run on a route that the configuration doesn't have."""
+        answer, _ = self.ask("GET", "/nothing/x")
+        self.assertEqual(answer.status, 404)
+        self.assertEqual(self.seen(self.desks + self.engines), [])
+
+    def test_posting_is_not_repeated_after_a_reset(self) -> None:
+        """Guards against a posting that runs twice, and against "not run" for what may have run."""
+        for desk in self.desks:
+            desk.fault = "reset"
+        answer, _ = self.ask("POST", "/post/x", b"pay")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(self.seen(self.desks)), 1)
+
+    def test_posting_is_sent_elsewhere_when_it_was_not_run(self) -> None:
+        """Guards against a refusal while another endpoint could run the request."""
+        self.desks[0].fault = "not-run"
+        answers = [self.ask("POST", "/post/x", b"pay")[0].status for _ in range(3)]
+        self.assertEqual(answers, [200, 200, 200])
+
+    def test_look_up_is_repeated_after_a_cut_answer(self) -> None:
+        """Guards against cut answers that look whole."""
+        self.desks[0].fault = "cut"
+        for _ in range(3):
+            answer, body = self.ask("GET", "/look/x")
+            self.assertEqual((answer.status, body), (200, b"i-d2" * 20))
+
+    def test_answer_of_another_request_is_dropped(self) -> None:
+        """Guards against crossed answers, and against answers without a signature."""
+        for fault in ("crossed", "unsigned"):
+            for desk in self.desks:
+                desk.fault = fault
+            answer, body = self.ask("POST", "/post/x", b"pay")
+            self.assertEqual(answer.status, 502)
+            self.assertNotIn(b"i-d", body[:3])
+
+    def test_extra_answer_is_not_given_to_the_next_request(self) -> None:
+        """Guards against a second answer on a kept connection being read by another request."""
+        for desk in self.desks:
+            desk.fault = "extra"
+        for _ in range(6):
+            answer, body = self.ask("GET", "/look/x")
+            self.assertEqual(answer.status, 200)
+            self.assertNotIn(b"extra", body)
+
+    def test_stream_has_all_events_in_order(self) -> None:
+        """Guards against events that are lost, doubled or joined."""
+        answer, body = self.ask("POST", "/live/x", b"p", Model="m1", Token_Usage="10,20")
+        self.assertEqual(answer.status, 200)
+        numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+        self.assertEqual(numbers, [b"id: %d" % number for number in range(1, 6)])
+
+    def test_stream_goes_on_at_another_engine(self) -> None:
+        """Guards against a stream that is lost, or has a torn event, when its engine breaks off."""
+        for engine in self.engines:
+            engine.stop_after = 3
+        answer, body = self.ask("POST", "/live/x", b"p", Model="m1", Token_Usage="10,20")
+        self.assertEqual(answer.status, 200)
+        numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+        self.assertEqual(numbers, [b"id: %d" % number for number in range(1, 6)])
+        self.assertNotIn(b"data: to\n", body)
+        asked = [seen.get("Last-Event-Id") for seen in self.seen(self.engines)]
+        self.assertEqual(sorted(asked, key=str), ["3", None])
+
+    def test_stream_that_may_not_be_resumed_ends_broken(self) -> None:
+        """Guards against a second run of a stream that may run only once."""
+        for engine in self.engines:
+            engine.stop_after = 3
+        with self.assertRaises(http.client.IncompleteRead):
+            self.ask("POST", "/digest/x", b"p", Model="m1", Token_Usage="10,20")
+        self.assertEqual(len(self.seen(self.engines)), 1)
+
+    def test_missing_adapter_is_brought(self) -> None:
+        """Guards against adapters that nobody loads."""
+        answer, _ = self.ask("POST", "/live/x", b"p", Model="m1/a2", Token_Usage="10,20")
+        self.assertEqual(answer.status, 200)
+        orders = [order for engine in self.engines for order in engine.orders]
+        self.assertIn("a2", [order.get("adapter") for order in orders])
+        self.assertEqual({order["holder"] for order in orders}, {"front-1"})
+
+    def test_missing_model_is_refused_with_the_time_of_its_load(self) -> None:
+        """Guards against requests that wait for what can't come in time, and for useless waits."""
+        for engine in self.engines:
+            engine.order_status = 409
+        answer, _ = self.ask("POST", "/live/x", b"p", Model="m9", Token_Usage="10,20")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+        self.assertEqual(self.seen(self.engines), [])
+
+    def test_newer_configuration_is_in_force_and_never_goes_back(self) -> None:
+        """Guards against a configuration that is not followed, or reverts."""
+        newer = make_configuration(9)
+        newer["routes"] = [route for route in newer["routes"] if route["name"] != "look"]
+        self.store.put("op", "config", newer)
+        wait_until(lambda: self.ask("GET", "/look/x")[0].status == 404)
+        self.store.put("op", "config", make_configuration(3))
+        self.store.put("op", "config", b"\xff not json")
+        time.sleep(0.3)
+        self.assertEqual(self.ask("GET", "/look/x")[0].status, 404)
+        self.assertEqual(self.host.configuration.version, 9)
+
+    def test_leaving_endpoint_gets_no_new_requests(self) -> None:
+        """Guards against work for an endpoint that is about to go."""
+        leaving = {**self.desks[0].entry("desk"), "state": "draining"}
+        self.store.put("servers", "i-d1", leaving)
+        time.sleep(1.5)
+        before = len(self.desks[0].seen)
+        for _ in range(6):
+            self.ask("GET", "/look/x")
+        self.assertEqual(len(self.desks[0].seen), before)
+
+    def test_foreign_rows_name_no_endpoint(self) -> None:
+        """Guards against rows of other writers that end the watch or are routed to."""
+        for key, value in (
+            ("i-x1", b"\xff\xfe"),
+            ("i-x2", {"service": "desk"}),
+            ("i-x3", {**self.desks[0].entry("desk"), "state": "asleep"}),
+            ("i-x4", {**self.desks[0].entry("desk"), "address": 7}),
+        ):
+            self.store.put("servers", key, value)
+        time.sleep(1.5)
+        self.assertEqual(self.ask("GET", "/look/x")[0].status, 200)
+
+    def test_store_outage_and_lost_history(self) -> None:
+        """Guards against requests that need the store, and against a watch that stops with it."""
+        self.store.status = 503
+        time.sleep(1.0)
+        self.assertEqual(self.ask("GET", "/look/x")[0].status, 200)
+        self.store.history_from = self.store.version + 1
+        self.store.put("op", "config", make_configuration(5))
+        self.store.status = 0
+        wait_until(lambda: self.host.configuration.version == 5)
+
+    def test_caller_that_leaves_stops_the_work(self) -> None:
+        """Guards against engines that work on for callers that are gone."""
+        for engine in self.engines:
+            engine.events, engine.gap_s = 400, 0.02
+        host, _, port = self.settings.front_address.rpartition(":")
+        with socket.create_connection((host, int(port)), WAIT_S) as connection:
+            head = f"GET /live/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {REQUEST_ID}\r\n"
+            connection.sendall(head.encode() + b"Model: m1\r\n\r\n")
+            self.assertIn(b"200 OK", connection.recv(1000))
+            self.assertEqual(self.host.state.in_progress, 1)
+        wait_until(lambda: self.host.state.in_progress == 0)
+
+    def test_stop_ends_running_streams_whole(self) -> None:
+        """Guards against a planned stop that cuts an answer off."""
+        for engine in self.engines:
+            engine.events, engine.gap_s = 30, 0.05
+        answers = []
+
+        def run() -> None:
+            answers.append(self.ask("POST", "/live/x", b"p", Model="m1", Token_Usage="10,20"))
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        wait_until(lambda: self.host.state.in_progress == 1)
+        self.host.stop()
+        thread.join()
+        self.assertEqual(answers[0][1].count(b"id:"), 30)
+        self.assertTrue(self.host.state.explain_unready())
+        self.assertFalse(self.host.lease.is_held())
+
+
+if __name__ == "__main__":
+    unittest.main()
