Let the holder of orders go on while the store is away, where engines check fencing tokens

Change: a holder whose renewals fail goes on for up to 60 s if engines refuse old tokens; a conflict, a fenced order or a pause of its own ends that at once.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -176,7 +176,9 @@
             boot_clock,
         )
         self.lease = LeaseKeeper(
-            OrderLease(settings.node, settings.peer_address, bounds.lease_s),
+            OrderLease(
+                settings.node, settings.peer_address, bounds.lease_s, bounds.engines_check_fences
+            ),
             platform.lease_row,
             self.link.is_heard,
             holder.begin,
--- a/catkinhook/hostsettings.py
+++ b/catkinhook/hostsettings.py
@@ -17,6 +17,7 @@
     :ivar lease_s: seconds after which an order lease lapses without renewal.
     :ivar load_window_s: seconds of the window in which loads from the weight store are counted.
     :ivar load_overage: permitted loads as a multiple of the weight store's rate.
+    :ivar engines_check_fences: whether engines refuse orders with an old fencing token.
     """
 
     drain_s: float = 2.0
@@ -29,6 +30,7 @@
     lease_s: float = 3.0
     load_window_s: float = 5.0
     load_overage: float = 1.1
+    engines_check_fences: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/catkinhook/leasekeeper.py
+++ b/catkinhook/leasekeeper.py
@@ -151,6 +151,9 @@
             self._hold(written.unwrap(), record, sent_at, is_renewal)
             return
         error = written.unwrap_err()
+        if is_renewal and not isinstance(error, StoreConflict):
+            with self._lock:
+                self._lease.fail(self._clock())
         if not self._read():
             return
         with self._lock:
--- a/catkinhook/orderlease.py
+++ b/catkinhook/orderlease.py
@@ -14,6 +14,10 @@
 # Seconds beyond the lease time for which others leave an unchanged row alone.
 TAKE_MARGIN_S = 0.3
 MAX_ROW_BYTES = 4096
+# A holder whose renewal failed this recently knows that the store is away, not that it slept.
+FAILURE_LIFE_S = 2.5
+# Longest time for which a holder goes on without the store.
+MAX_EXTENSION_S = 60.0
 
 
 class Step(enum.Enum):
@@ -67,9 +71,13 @@
     :param node: name of this host.
     :param address: ``IP:port`` at which it listens for other hosts.
     :param lease_s: seconds after which an unchanged row has lapsed.
+    :param may_extend: go on while the store does not answer. Where engines refuse old fencing
+        tokens, a host that takes the lease meanwhile stops this one at its first order.
     """
 
-    def __init__(self, node: str, address: str, lease_s: float) -> None:
+    def __init__(self, node: str, address: str, lease_s: float, may_extend: bool = False) -> None:
+        self._may_extend = may_extend
+        self._failed_at = float("-inf")
         self._node = node
         self._address = address
         self._lease_s = lease_s
@@ -83,7 +91,19 @@
 
     def is_held(self, now: float) -> bool:
         """Whether this host may give orders."""
-        return now < self._held_until
+        return now < self._held_until or self._is_extended(now)
+
+    def fail(self, now: float) -> None:
+        """Record a renewal that the store did not answer, while the lease is held."""
+        if self.is_held(now):
+            self._failed_at = now
+
+    def _is_extended(self, now: float) -> bool:
+        return (
+            self._may_extend
+            and now - self._failed_at < FAILURE_LIFE_S
+            and now - self._renewed_at < MAX_EXTENSION_S
+        )
 
     @property
     def fence(self) -> int:
@@ -96,7 +116,8 @@
         :param is_heard: the holder answered this host lately and says that it holds the lease.
         """
         if self.is_held(now):
-            is_due = now - self._renewed_at >= RENEW_SHARE * self._lease_s
+            tried_at = max(self._renewed_at, self._failed_at)
+            is_due = now - tried_at >= RENEW_SHARE * self._lease_s
             return Step.RENEW if is_due else Step.WAIT
         if is_heard:
             return Step.WAIT
@@ -132,13 +153,14 @@
         self.version, self.record, self._changed_at = version, record, now
         self._highest = max(self._highest, record.fence)
         self._renewed_at = sent_at
+        self._failed_at = float("-inf")
         self._held_until = sent_at + self._lease_s - HOLD_MARGIN_S
         if record.released:
             self._held_until = float("-inf")
 
     def drop(self) -> None:
         """Stop giving orders."""
-        self._held_until = float("-inf")
+        self._held_until = self._failed_at = float("-inf")
 
     def is_own(self, record: LeaseRecord | None) -> bool:
         """Whether a row was written by this process."""
--- a/catkinhook/platform/boot.py
+++ b/catkinhook/platform/boot.py
@@ -97,6 +97,7 @@
     values |= {"region": read("region", str, "default"), "seeds": read("seeds", _addresses, ())}
     values |= read_all(_NUMBERS, HostSettings)
     bounds = read_all(_BOUNDS, Bounds)
+    bounds["engines_check_fences"] = read("bounds.require_fence", _flag, False)
     if faults:
         return Err(faults)
     return Ok(HostSettings(bounds=Bounds(**bounds), **values))
@@ -112,6 +113,12 @@
     return convert
 
 
+def _flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false")
+    return text == "true"
+
+
 def _address(text: str) -> str:
     split_address(text)
     return text
--- /dev/null
+++ b/tests/test_orderlease.py
@@ -0,0 +1,167 @@
+"""The lease for orders: one holder at a time, through pauses, outages and lost answers."""
+
+import unittest
+
+from result import Err, Ok, Result
+
+from catkinhook.decisionlog import DecisionLog
+from catkinhook.errors import Effect, StoreConflict, StoreError
+from catkinhook.feeds import VersionedRow
+from catkinhook.leasekeeper import LeaseKeeper
+from catkinhook.orderlease import LeaseRecord, OrderLease, Step, decode_lease, encode_lease
+
+LEASE_S = 3.0
+
+
+class FakeRow:
+    """A row with a switch for outages and lost answers."""
+
+    def __init__(self) -> None:
+        self.row = VersionedRow(0, b"")
+        self.is_away = False
+        self.loses_answer = False
+
+    def read(self) -> Result:
+        """Return the row."""
+        return Err(StoreError("store", "", "away")) if self.is_away else Ok(self.row)
+
+    def write(self, expected: int, value: bytes) -> Result:
+        """Write the row if it has the expected version."""
+        if self.is_away:
+            return Err(StoreError("store", "", "away", Effect.UNKNOWN))
+        if self.row.version != expected:
+            return Err(StoreConflict("store", "", "another version"))
+        self.row = VersionedRow(expected + 1, value)
+        if self.loses_answer:
+            return Err(StoreError("store", "", "the answer was lost", Effect.UNKNOWN))
+        return Ok(self.row.version)
+
+
+class KeeperTest(unittest.TestCase):
+    """Two hosts and one row on a clock that the test moves."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.row = FakeRow()
+        self.acquired: list[tuple[str, int]] = []
+
+    def make(self, node: str, may_extend: bool = False) -> LeaseKeeper:
+        """Return a keeper whose thread is not started."""
+        keeper = LeaseKeeper(
+            OrderLease(node, f"{node}:1", LEASE_S, may_extend),
+            self.row,
+            lambda: False,
+            lambda fence: self.acquired.append((node, fence)),
+            DecisionLog(node),
+            lambda: self.now,
+        )
+        keeper._stop.wait = lambda timeout: False
+        return keeper
+
+    def run_for(self, seconds: float, *keepers: LeaseKeeper) -> None:
+        """Step keepers as their threads would."""
+        for _ in range(int(seconds / 0.25)):
+            self.now += 0.25
+            for keeper in keepers:
+                keeper.step()
+
+    def test_one_of_two_becomes_the_holder_and_stays_it(self) -> None:
+        """Guards against two holders, and against leases that move without need."""
+        first, second = self.make("a"), self.make("b")
+        self.run_for(20, first, second)
+        self.assertEqual(len(self.acquired), 1)
+        self.assertNotEqual(first.is_held(), second.is_held())
+
+    def test_other_takes_over_only_after_the_lease_lapsed(self) -> None:
+        """Guards against a second holder while the first may still give orders."""
+        first, second = self.make("a"), self.make("b")
+        self.run_for(2, first)
+        self.run_for(1, first, second)
+        stopped_at = self.now
+        while not second.is_held():
+            self.assertLess(self.now, stopped_at + 10)
+            was_held = first.is_held()
+            self.run_for(0.25, second)
+            self.assertFalse(second.is_held() and first.is_held())
+        self.assertFalse(was_held)
+        self.assertEqual([fence for _, fence in self.acquired], [1, 2])
+
+    def test_paused_holder_does_not_go_on(self) -> None:
+        """Guards against a holder that was frozen past its lease and still orders."""
+        first = self.make("a", may_extend=True)
+        self.run_for(2, first)
+        self.now += 5
+        self.assertFalse(first.is_held())
+
+    def test_holder_goes_on_without_the_store_where_engines_check_fences(self) -> None:
+        """Guards against eight seconds without orders during an outage of the store."""
+        first, strict = self.make("a", may_extend=True), self.make("a")
+        self.run_for(2, first)
+        self.row.is_away = True
+        self.run_for(8, first)
+        self.assertTrue(first.is_held())
+        self.row.is_away = False
+        self.run_for(2, first)
+        self.assertEqual(self.acquired, [("a", 1)])
+        self.row = strict._row = FakeRow()
+        self.run_for(2, strict)
+        self.row.is_away = True
+        self.run_for(4, strict)
+        self.assertFalse(strict.is_held())
+
+    def test_extended_holder_stops_when_another_took_the_lease(self) -> None:
+        """Guards against a holder that goes on after the store shows another one."""
+        first = self.make("a", may_extend=True)
+        self.run_for(2, first)
+        self.row.is_away = True
+        self.run_for(5, first)
+        self.row.is_away = False
+        record = LeaseRecord(node="b", address="b:1", fence=2, nonce="n")
+        self.row.row = VersionedRow(self.row.row.version + 1, encode_lease(record))
+        self.run_for(2, first)
+        self.assertFalse(first.is_held())
+
+    def test_lost_answer_of_a_write_that_took_effect(self) -> None:
+        """Guards against a lease that nobody uses because its writer doesn't know of it."""
+        first = self.make("a")
+        self.row.loses_answer = True
+        self.run_for(2, first)
+        self.assertTrue(first.is_held())
+
+    def test_released_lease_is_taken_at_once(self) -> None:
+        """Guards against seconds without orders after a planned stop of the holder."""
+        first, second = self.make("a"), self.make("b")
+        self.run_for(2, first)
+        first.resign()
+        self.assertFalse(first.is_held())
+        self.run_for(1, second)
+        self.assertTrue(second.is_held())
+
+    def test_lease_of_an_ended_process_of_the_same_host(self) -> None:
+        """Guards against a wait for a lease that the host's own earlier process held."""
+        self.run_for(2, self.make("a"))
+        again = self.make("a")
+        self.run_for(1, again)
+        self.assertTrue(again.is_held())
+        self.assertEqual(self.acquired, [("a", 1), ("a", 2)])
+
+
+class LeaseTest(unittest.TestCase):
+    """Decoding and single decisions."""
+
+    def test_foreign_rows_are_no_lease(self) -> None:
+        """Guards against rows of other writers that end the keeper."""
+        for value in (b"", b"{}", b"\xff", b"[]", b'{"node": 1}', b"x" * 5000):
+            self.assertIsNone(decode_lease(value))
+
+    def test_fence_rises_over_a_row_that_was_dropped(self) -> None:
+        """Guards against a fencing token that engines have seen from another holder."""
+        lease = OrderLease("a", "a:1", LEASE_S)
+        lease.observe(3, LeaseRecord(node="b", address="b:1", fence=7, nonce="n"), 0.0)
+        lease.observe(4, None, 1.0)
+        self.assertIs(lease.next_step(1.0, False), Step.TAKE)
+        self.assertEqual(lease.draft(False).fence, 8)
+
+
+if __name__ == "__main__":
+    unittest.main()
