Put the holder's word on an engine before its entry in the store

Cause: an entry's sequence counts heartbeats, not orders. Change: the entry's sequence is not decoded; the holder's word goes first while it is recent, and later if the entries are older still. An unload of an idle model is taken to last 0.1 s.

--- a/catkinhook/holderlink.py
+++ b/catkinhook/holderlink.py
@@ -38,6 +38,8 @@
 UNKNOWN_PAUSE_S = 0.1
 # The holder counts as heard for this long after an answer.
 HEARD_S = 1.0
+# The holder's word on an engine goes before its entry for this long.
+VIEW_LIFE_S = 3.0
 # Suspect events are repeated for this long, and all are sent to a host that is new to a holder.
 SUSPECT_REPEAT_S = 1.5
 # A host without a view counts the hosts that it saw last.
@@ -50,15 +52,13 @@
     """Return the endpoints with what the holder knows of their models and adapters.
 
     An entry in the store tells nothing new after an adapter was loaded, so the holder's word goes
-    first until the entry shows orders that the holder has not seen.
+    first for as long as it is recent.
     """
     merged = dict(endpoint_by_id)
     for holding in holdings:
         entry = merged.get(holding.endpoint)
         if entry is None or entry.boot_id != holding.boot_id:
             continue
-        if entry.sequence > holding.sequence:
-            continue
         merged[holding.endpoint] = attrs.evolve(
             entry, models=holding.models, adapters=holding.adapters, sequence=holding.sequence
         )
@@ -111,6 +111,7 @@
         self._stop = threading.Event()
         self._lock = threading.Lock()
         self._endpoint_by_id: dict[str, EndpointView] = {}
+        self._entries_at = float("-inf")
         self._holding_by_id: dict[str, Holding] = {}
         self._known = (0, 0)
         self._view_at = float("-inf")
@@ -154,7 +155,7 @@
     def set_endpoints(self, endpoint_by_id: dict[str, EndpointView]) -> None:
         """Take over the endpoints and what their entries say."""
         with self._lock:
-            self._endpoint_by_id = endpoint_by_id
+            self._endpoint_by_id, self._entries_at = endpoint_by_id, self._clock()
         self._holder.set_endpoints(endpoint_by_id)
         self._apply()
 
@@ -265,7 +266,11 @@
 
     def _apply(self, view: HolderView | None = None) -> None:
         with self._lock:
-            endpoints = overlay(self._endpoint_by_id, self._holding_by_id.values())
+            is_recent = self._clock() - self._view_at < VIEW_LIFE_S
+            # During an outage of the store, an old word of the holder is newer than the entries.
+            is_newer = self._view_at > self._entries_at
+            holdings = self._holding_by_id.values() if is_recent or is_newer else ()
+            endpoints = overlay(self._endpoint_by_id, holdings)
         hosts = max(MIN_HOSTS, len(self._addresses))
         now = time.monotonic()
 
--- a/catkinhook/platform/records.py
+++ b/catkinhook/platform/records.py
@@ -178,8 +178,8 @@
         boot_id=_boot_id(record),
         models=held[0],
         adapters=held[1],
+        # The entry's own sequence counts heartbeats, not orders.
         slots=int(_number(record, "slots")),
-        sequence=int(_number(record, "sequence", 0)),
         **_copies(record),
     )
 
--- a/catkinhook/provisioning.py
+++ b/catkinhook/provisioning.py
@@ -52,7 +52,7 @@
 IDLE_REPORT_S = 2.5
 BUSY_REPORT_S = 0.2
 # Time that an engine takes to drop a model that no request uses.
-UNLOAD_S = 0.02
+UNLOAD_S = 0.1
 # An engine that gave no report this often in a row counts as down.
 FAILURES_TO_DOWN = 2
 # Orders with a lost answer are settled by a report that is this much younger.
--- /dev/null
+++ b/tests/test_holderlink.py
@@ -0,0 +1,54 @@
+"""What a host believes of engines: the store's entries and the holder's word."""
+
+import json
+import unittest
+
+from catkinhook.holderlink import EXCHANGE_S, HURRY_S, choose_pause, overlay
+from catkinhook.hostmessages import Holding
+from catkinhook.platform.records import decode_endpoint
+from tests.platform_standin import FakeEndpoint
+
+
+class OverlayTest(unittest.TestCase):
+    """Entries with the holder's word on top."""
+
+    def setUp(self) -> None:
+        self.entry = {**FakeEndpoint("i-e", ("m1",)).entry("llm"), "sequence": 99}
+        self.view = decode_endpoint("i-e", json.dumps(self.entry).encode()).unwrap()
+
+    def make(self, boot_id: str) -> Holding:
+        """Return a holding with another model."""
+        return Holding(
+            endpoint="i-e",
+            boot_id=boot_id,
+            sequence=3,
+            models=frozenset(("m2",)),
+            adapters=frozenset(("m2/a1",)),
+        )
+
+    def test_heartbeats_do_not_hide_the_holders_word(self) -> None:
+        """Guards against a model that no host uses after its load.
+
+        An entry counts heartbeats under the name that a report uses for orders; compared with each
+        other, each entry looked newer than what the holder knew.
+        """
+        merged = overlay({"i-e": self.view}, [self.make("1")])
+        self.assertEqual(merged["i-e"].models, {"m2"})
+        self.assertEqual(merged["i-e"].adapters, {"m2/a1"})
+
+    def test_restarted_engine_is_taken_from_its_entry(self) -> None:
+        """Guards against requests for models that an engine lost at its restart."""
+        merged = overlay({"i-e": self.view}, [self.make("0")])
+        self.assertEqual(merged["i-e"].models, {"m1"})
+
+    def test_pause_follows_the_expected_time(self) -> None:
+        """Guards against hosts that ask many times a second for what takes seconds."""
+        missing = {("llm", "m1")}
+        self.assertEqual(choose_pause(set(), {}), EXCHANGE_S)
+        self.assertEqual(choose_pause(missing, {("llm", "m1"): 8.0}), EXCHANGE_S)
+        self.assertLess(choose_pause(missing, {("llm", "m1"): 0.02}), 0.05)
+        self.assertGreaterEqual(choose_pause(missing, {("llm", "m1"): 0.0}), HURRY_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
