Hand known rates to the next holder, and give up on a dark endpoint only where a request can go on

Change: the lease row carries the rates by model, which count half after 4 s; no move in the first 0.6 s; silence ends an attempt only if another may follow.

--- a/catkinhook/forwarding.py
+++ b/catkinhook/forwarding.py
@@ -63,13 +63,19 @@
     """Sends one request to chosen endpoints."""
 
     def open(
-        self, placed: Placed, time_left_s: float, timeout_s: float, last_event: int | None
+        self,
+        placed: Placed,
+        time_left_s: float,
+        timeout_s: float,
+        last_event: int | None,
+        until_dark: bool,
     ) -> UpstreamAnswer:
         """Send the request and read the head of the answer.
 
         :param time_left_s: time that the endpoint is given.
         :param timeout_s: time after which the head counts as not coming.
         :param last_event: number of the last event that the caller has, None for none.
+        :param until_dark: whether to give up earlier on an endpoint that no request hears.
         :raises AttemptError: if no answer of this attempt came.
         """
 
@@ -325,27 +331,31 @@
         return decision
 
     def _try_once(self, placed: Placed) -> Reply:
-        work = self.work
+        answer = self._open(placed)
+        try:
+            if self.work.route.is_stream and answer.status == 200:
+                return self._begin_stream(placed, answer)
+            return self._read_whole(placed, answer)
+        except AttemptError:
+            answer.close()
+            raise
+
+    def _open(self, placed: Placed) -> UpstreamAnswer:
+        """Send the next attempt and read the head of its answer."""
         self.sends += 1
         self.tried |= {placed.endpoint.endpoint}
         self.endpoints.append(placed.endpoint.endpoint)
-        left = work.deadline - time.monotonic() - ANSWER_MARGIN_S
+        left = self.work.deadline - time.monotonic() - ANSWER_MARGIN_S
         if left < MIN_TIME_S:
             reason = "the time is up"
             raise AttemptError(STEP, "", reason, Ran.NO, outcome=Outcome.CANCELLED, fault="late")
-        self._forwarder.watch_caller(self)
-        last = self.order.last if self._resumes or self.order.last else None
         if self.order.last:
             self.order.resume()
-        answer = self._upstream.open(placed, left, self._head_timeout(left), last)
-        self._answer = answer
-        try:
-            if work.route.is_stream and answer.status == 200:
-                return self._begin_stream(placed, answer)
-            return self._read_whole(placed, answer)
-        except AttemptError:
-            answer.close()
-            raise
+        last = self.order.last if self._resumes or self.order.last else None
+        self._forwarder.watch_caller(self)
+        timeout, until_dark = self._head_timeout(left), self._may_repeat()
+        self._answer = self._upstream.open(placed, left, timeout, last, until_dark)
+        return self._answer
 
     def _head_timeout(self, left: float) -> float:
         route = self.work.route
@@ -489,18 +499,7 @@
             return placed, self._answer, reply
 
     def _resume(self, placed: Placed) -> Iterator[bytes]:
-        self.sends += 1
-        self.tried |= {placed.endpoint.endpoint}
-        self.endpoints.append(placed.endpoint.endpoint)
-        left = self.work.deadline - time.monotonic() - ANSWER_MARGIN_S
-        if left < MIN_TIME_S:
-            raise AttemptError(STEP, "", "the time is up", Ran.NO, outcome=Outcome.CANCELLED)
-        if self.order.last:
-            self.order.resume()
-        last = self.order.last if self._resumes or self.order.last else None
-        self._forwarder.watch_caller(self)
-        answer = self._upstream.open(placed, left, self._head_timeout(left), last)
-        self._answer = answer
+        answer = self._open(placed)
         if answer.status != 200:
             answer.close()
             reason = f"endpoint answered {answer.status} to a resume"
--- a/catkinhook/holding.py
+++ b/catkinhook/holding.py
@@ -117,13 +117,20 @@
         self._calls.shutdown(wait=False, cancel_futures=True)
         self._desk.close()
 
-    def begin(self, fence: int) -> None:
-        """Begin to give orders under a fencing token."""
+    def find_rates(self) -> dict[str, float]:
+        """Return the requests a second by model, for the next holder."""
+        return self._desk.ask(lambda desk: desk.provisioner.rates())
+
+    def begin(self, fence: int, rates: dict[str, float]) -> None:
+        """Begin to give orders under a fencing token.
+
+        :param rates: requests a second by model, as the holder before knew them.
+        """
         now = self._clock()
         self._fence = fence
 
         def change(desk: _Desk) -> None:
-            desk.provisioner.begin(fence, now)
+            desk.provisioner.begin(fence, rates, now)
             desk.report_by_node.clear()
 
         self._desk.tell(change)
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -182,6 +182,7 @@
             platform.lease_row,
             self.link.is_heard,
             holder.begin,
+            holder.find_rates,
             self.log,
             boot_clock,
         )
--- a/catkinhook/leasekeeper.py
+++ b/catkinhook/leasekeeper.py
@@ -23,7 +23,9 @@
 
     :param row: the lease's row in the store.
     :param is_heard: whether the holder answered this host lately.
-    :param on_acquire: called with the fencing token when this host becomes the holder.
+    :param on_acquire: called with the fencing token, and the rates that the row carries, when this
+        host becomes the holder.
+    :param find_rates: returns requests a second by model, which the row carries on.
     :param clock: seconds that also count while the host is suspended.
     """
 
@@ -32,7 +34,8 @@
         lease: OrderLease,
         row: ConditionalRow,
         is_heard: Callable[[], bool],
-        on_acquire: Callable[[int], None],
+        on_acquire: Callable[[int, dict[str, float]], None],
+        find_rates: Callable[[], dict[str, float]],
         log: DecisionLog,
         clock: Clock,
     ) -> None:
@@ -40,6 +43,7 @@
         self._row = row
         self._is_heard = is_heard
         self._on_acquire = on_acquire
+        self._find_rates = find_rates
         self._log = log
         self._clock = clock
         self._lock = threading.Lock()
@@ -140,8 +144,9 @@
         return True
 
     def _write(self, is_renewal: bool) -> None:
+        rates = self._find_rates() if is_renewal else None
         with self._lock:
-            record = self._lease.draft(is_renewal)
+            record = self._lease.draft(is_renewal, rates=rates)
             expected = self._lease.version
         sent_at = self._clock()
         written = self._row.write(expected, encode_lease(record))
@@ -173,4 +178,4 @@
         self._was_held = True
         if not is_renewal or not was_held:
             self._log.record("lease", outcome="acquired", fence=record.fence, version=version)
-            self._on_acquire(record.fence)
+            self._on_acquire(record.fence, record.rates)
--- a/catkinhook/liveness.py
+++ b/catkinhook/liveness.py
@@ -37,12 +37,18 @@
 
 
 def read_until_dark(
-    read: Callable[[float], bytes], ear: EndpointEar, endpoint: str, limit_s: float
+    read: Callable[[float], bytes],
+    ear: EndpointEar,
+    endpoint: str,
+    limit_s: float,
+    until_dark: bool,
 ) -> bytes:
-    """Read from an endpoint until it counts as dark.
+    """Read from an endpoint until the limit, or until it counts as dark.
 
     :param read: reads with a timeout in seconds, and raises ``TimeoutError`` after it.
     :param limit_s: longest wait in seconds, even for an endpoint that others hear.
+    :param until_dark: whether to give up on a dark endpoint. A request that can't go on elsewhere
+        loses nothing by waiting.
     :raises TimeoutError: if the endpoint is dark or the limit is reached.
     """
     since = time.monotonic()
@@ -51,7 +57,8 @@
         try:
             data = read(max(0.001, min(DARK_S, limit_s - waited)))
         except TimeoutError:
-            if time.monotonic() - since >= limit_s or ear.is_dark(endpoint, since):
+            is_over = time.monotonic() - since >= limit_s
+            if is_over or (until_dark and ear.is_dark(endpoint, since)):
                 raise
             continue
         ear.note(endpoint)
--- a/catkinhook/orderlease.py
+++ b/catkinhook/orderlease.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import math
 import uuid
 
 import attrs
@@ -37,6 +38,7 @@
     :ivar fence: fencing token, higher with each holder.
     :ivar nonce: tells the writer that a write with a lost answer was its own.
     :ivar released: the holder has given the lease back.
+    :ivar rates: requests a second by model, for the next holder, which knows no demand yet.
     """
 
     node: str
@@ -44,6 +46,7 @@
     fence: int
     nonce: str
     released: bool = False
+    rates: dict[str, float] = attrs.Factory(dict)
 
 
 def encode_lease(record: LeaseRecord) -> bytes:
@@ -62,7 +65,14 @@
         return None
     texts = (record.node, record.address, record.nonce)
     is_valid = all(isinstance(text, str) for text in texts) and isinstance(record.fence, int)
-    return record if is_valid else None
+    if not is_valid or not isinstance(record.rates, dict):
+        return None
+    rates = {
+        name: float(rate)
+        for name, rate in record.rates.items()
+        if isinstance(rate, (int, float)) and math.isfinite(rate) and rate >= 0
+    }
+    return attrs.evolve(record, rates=rates)
 
 
 class OrderLease:
@@ -134,8 +144,15 @@
         if self.record is not None and fence == self.record.fence and version > self.version:
             self.version, self._changed_at = version, now
 
-    def draft(self, is_renewal: bool, released: bool = False) -> LeaseRecord:
-        """Return the content to write."""
+    def draft(
+        self, is_renewal: bool, released: bool = False, rates: dict[str, float] | None = None
+    ) -> LeaseRecord:
+        """Return the content to write.
+
+        :param rates: requests a second by model, None to leave what the row says.
+        """
+        if rates is None:
+            rates = self.record.rates if self.record else {}
         fence = self.fence if is_renewal else self._highest + 1
         return LeaseRecord(
             node=self._node,
@@ -143,6 +160,7 @@
             fence=fence,
             nonce=self._nonce,
             released=released,
+            rates=rates,
         )
 
     def hold(self, version: int, record: LeaseRecord, sent_at: float, now: float) -> None:
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -3,6 +3,7 @@
 import http.client
 import socket
 import time
+from collections.abc import Callable
 
 from catkinhook.attempts import (
     CONNECTION_ERRORS,
@@ -63,7 +64,12 @@
         self._is_aborted = False
 
     def open(
-        self, placed: Placed, time_left_s: float, timeout_s: float, last_event: int | None
+        self,
+        placed: Placed,
+        time_left_s: float,
+        timeout_s: float,
+        last_event: int | None,
+        until_dark: bool,
     ) -> "EndpointAnswer":
         """Send the request and read the head of the answer.
 
@@ -84,6 +90,7 @@
         self._answer = answer
         if self._is_aborted:
             answer.abort()
+        answer.until_dark = until_dark
         answer.send(
             self._method, self._target, headers, self._body, timeout_s, not self._is_repeatable
         )
@@ -98,7 +105,10 @@
 
 
 class EndpointAnswer:
-    """An endpoint's answer; used by one thread, except for ``abort``."""
+    """An endpoint's answer; used by one thread, except for ``abort``.
+
+    :ivar until_dark: whether to give up on a dark endpoint before a timeout.
+    """
 
     def __init__(
         self, connections: Connections, ear: EndpointEar, placed: Placed, request_id: str
@@ -113,6 +123,7 @@
         self._left: int | None = None
         self._is_ended = False
         self._is_aborted = False
+        self.until_dark = False
         self.status = 0
         self.headers: Headers = ()
         self.load: tuple[int, int] | None = None
@@ -159,7 +170,11 @@
             sock.settimeout(seconds)
             return sock.recv(1, socket.MSG_PEEK)
 
-        read_until_dark(peek, self._ear, self._endpoint.endpoint, timeout_s)
+        self._wait(peek, timeout_s)
+
+    def _wait(self, read: Callable[[float], bytes], timeout_s: float) -> bytes:
+        endpoint = self._endpoint.endpoint
+        return read_until_dark(read, self._ear, endpoint, timeout_s, self.until_dark)
 
     def _read_head(self) -> None:
         response = self._response
@@ -228,7 +243,7 @@
                 sock.settimeout(seconds)
                 return self._response.fp.read1(size)
 
-            data = read_until_dark(read, self._ear, self._endpoint.endpoint, timeout_s)
+            data = self._wait(read, timeout_s)
             if self._is_aborted:
                 raise ConnectionAbortedError("the caller left")
             if self._chunks is not None:
--- a/catkinhook/provisioning.py
+++ b/catkinhook/provisioning.py
@@ -51,6 +51,12 @@
 # Seconds between reports of an engine that has nothing to do, and while it carries out an order.
 IDLE_REPORT_S = 2.5
 BUSY_REPORT_S = 0.2
+# A new holder moves no model until all hosts have told it their demand.
+GATHER_S = 0.6
+# What the holder before knew of demand counts half after this long.
+KNOWN_RATES_HALF_LIFE_S = 4.0
+MIN_KNOWN_RATE = 0.05
+MAX_KNOWN_RATES = 64
 # Time that an engine takes to drop a model that no request uses.
 UNLOAD_S = 0.1
 # An engine that gave no report this often in a row counts as down.
@@ -199,13 +205,19 @@
         self._expected: dict[tuple[str, str], float] = {}
         self._fence = 0
         self._begun_at = 0.0
+        self._known_rates: dict[str, float] = {}
+        self._now = 0.0
 
     # What is known.
 
-    def begin(self, fence: int, now: float) -> None:
-        """Begin to give orders under a fencing token; every engine is asked for its state."""
+    def begin(self, fence: int, rates: dict[str, float], now: float) -> None:
+        """Begin to give orders under a fencing token; every engine is asked for its state.
+
+        :param rates: requests a second by model, as the holder before knew them.
+        """
         self._fence = fence
         self._begun_at = now
+        self._known_rates = rates
         # The holder before may have used up the weight store's rate.
         window = self._bounds.load_window_s
         self._store_loads = deque([now] * int(window / 2))
@@ -356,6 +368,7 @@
     def plan(self, now: float) -> list[Command]:
         """Return the orders to send now."""
         self._expected = {}
+        self._now = now
         self._advance(now)
         if self._table is None:
             return []
@@ -419,6 +432,8 @@
     ) -> list[Command]:
         commands = self._load_planned(spec, books, now)
         demand = self._model_demand(service)
+        if now - self._begun_at < GATHER_S:
+            return commands
         if not demand:
             commands += self._spread_copies(spec, books, now)
         for name, gain in self._needs(spec, books, demand):
@@ -526,8 +541,24 @@
             if owner == service and item:
                 name = item.partition("/")[0]
                 total[name] = total.get(name, NO_DEMAND).plus(demand)
+        spec = self._table.service_by_name[service].engine if self._table else None
+        keep = 0.5 ** ((self._now - self._begun_at) / KNOWN_RATES_HALF_LIFE_S)
+        for name, rate in self._known_rates.items():
+            if spec is not None and name in spec.model_by_name and rate * keep > MIN_KNOWN_RATE:
+                seen = total.get(name, NO_DEMAND)
+                total[name] = attrs.evolve(seen, rate=max(seen.rate, rate * keep))
         return total
 
+    def rates(self) -> dict[str, float]:
+        """Return the requests a second by model, for the next holder."""
+        rates: dict[str, float] = {}
+        for (_, item), demand in self._demand.items():
+            if item:
+                name = item.partition("/")[0]
+                rates[name] = rates.get(name, 0.0) + demand.rate
+        busiest = sorted(rates.items(), key=lambda pair: -pair[1])[:MAX_KNOWN_RATES]
+        return {name: round(rate, 2) for name, rate in busiest if rate >= MIN_KNOWN_RATE}
+
     def _needs(
         self, spec: EngineSpec, books: list[Book], demand: dict[str, Demand]
     ) -> list[tuple[str, float]]:
--- a/tests/test_orderlease.py
+++ b/tests/test_orderlease.py
@@ -51,7 +51,8 @@
             OrderLease(node, f"{node}:1", LEASE_S, may_extend),
             self.row,
             lambda: False,
-            lambda fence: self.acquired.append((node, fence)),
+            lambda fence, rates: self.acquired.append((node, fence)),
+            lambda: {"m1": 2.5},
             DecisionLog(node),
             lambda: self.now,
         )
@@ -154,6 +155,14 @@
         for value in (b"", b"{}", b"\xff", b"[]", b'{"node": 1}', b"x" * 5000):
             self.assertIsNone(decode_lease(value))
 
+    def test_rates_outlive_the_holder(self) -> None:
+        """Guards against a new holder that drops busy models, for it knows no demand yet."""
+        record = LeaseRecord(node="a", address="a:1", fence=1, nonce="n", rates={"m1": 2.5})
+        self.assertEqual(decode_lease(encode_lease(record)), record)
+        lease = OrderLease("b", "b:1", LEASE_S)
+        lease.observe(1, record, 0.0)
+        self.assertEqual(lease.draft(False).rates, {"m1": 2.5})
+
     def test_fence_rises_over_a_row_that_was_dropped(self) -> None:
         """Guards against a fencing token that engines have seen from another holder."""
         lease = OrderLease("a", "a:1", LEASE_S)
