Read answers from the socket itself, so that a silence does not break them off

A socket's file object refuses every read after a timeout, so each silence of 1.8 s ended a stream; many streams that counted as silent before were broken off by this. Change: what is read beyond the head is taken first, then the socket is read.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -122,6 +122,8 @@
         self._chunks: ChunkDecoder | None = None
         self._left: int | None = None
         self._is_ended = False
+        self._buffered = b""
+        self._has_extra = False
         self._is_aborted = False
         self.until_dark = False
         self.status = 0
@@ -207,6 +209,18 @@
                 raise self._error("sent an answer of unknown length", fault="unframed")
             self._left = int(length)
             self._is_ended = self._left == 0
+        self._take_buffered()
+
+    def _take_buffered(self) -> None:
+        """Take what was read beyond the head; the rest is read from the socket itself.
+
+        The file object of a socket can't be read again after a timeout.
+        """
+        if self._response.fp is None:
+            # http.client closes it at once when there is no body.
+            return
+        self._connection.sock.settimeout(0)
+        self._buffered = self._response.fp.read1(READ_BYTES) or b""
 
     def _refused(self, reason: str, fault: str = "") -> None:
         self._drain()
@@ -241,9 +255,10 @@
 
             def read(seconds: float) -> bytes:
                 sock.settimeout(seconds)
-                return self._response.fp.read1(size)
+                return sock.recv(size)
 
-            data = self._wait(read, timeout_s)
+            data, self._buffered = self._buffered, b""
+            data = data or self._wait(read, timeout_s)
             if self._is_aborted:
                 raise ConnectionAbortedError("the caller left")
             if self._chunks is not None:
@@ -254,6 +269,9 @@
             elif self._left is not None:
                 if not data:
                     raise ConnectionResetError(f"it ended {self._left} bytes early")
+                if len(data) > self._left:
+                    # Bytes after the answer belong to no request, so the connection isn't kept.
+                    self._has_extra, data = True, data[: self._left]
                 self._left -= len(data)
                 self._is_ended = self._left == 0
             else:
@@ -268,7 +286,7 @@
 
     def finish(self) -> None:
         """Keep the connection for other requests if the answer was read to its end."""
-        framed = self._chunks is not None or self._left is not None
+        framed = (self._chunks is not None or self._left is not None) and not self._has_extra
         if self._is_ended and framed and not self._response.will_close and not self._is_aborted:
             self._keep()
         else:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -189,6 +189,7 @@
     :ivar fault: what is wrong with the next answers: ``""``, ``not-run``, ``misdirected``,
         ``crossed``, ``cut``, ``reset``, ``unsigned``, ``error``, ``extra``.
     :ivar events: events of a stream.
+    :ivar pause_s: silence after the second event.
     :ivar stop_after: events after which a stream that was not resumed breaks off, 0 for none.
     """
 
@@ -201,6 +202,7 @@
         self.events = 5
         self.stop_after = 0
         self.gap_s = 0.0
+        self.pause_s = 0.0
         self.seen: list[Seen] = []
         self.orders: list[dict] = []
         self.order_status = 0
@@ -303,7 +305,7 @@
             event = b"id: %d\ndata: token%d\n\n" % (number, number)
             request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             request.wfile.flush()
-            time.sleep(self.gap_s)
+            time.sleep(self.gap_s + (self.pause_s if number == 2 else 0.0))
         request.wfile.write(b"0\r\n\r\n")
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -9,6 +9,7 @@
 
 from catkinhook.host import Host
 from catkinhook.hostsettings import Bounds, HostSettings
+from catkinhook.liveness import DARK_S
 from catkinhook.platform.assembly import make_platform
 from tests.platform_standin import FakeEndpoint, FakeStore, make_configuration
 
@@ -171,6 +172,17 @@
             self.ask("POST", "/digest/x", b"p", Model="m1", Token_Usage="10,20")
         self.assertEqual(len(self.seen(self.engines)), 1)
 
+    def test_long_silence_does_not_end_a_stream_that_runs_once(self) -> None:
+        """Guards against a stream that is cut because its engine read long prompts.
+
+        A file object of a socket can't be read again after a timeout, so the first silence of
+        1.8 s broke each such stream off.
+        """
+        for engine in self.engines:
+            engine.pause_s = DARK_S + 0.3
+        answer, body = self.ask("POST", "/digest/x", b"p", Model="m1", Token_Usage="10,20")
+        self.assertEqual((answer.status, body.count(b"id:")), (200, 5))
+
     def test_missing_adapter_is_brought(self) -> None:
         """Guards against adapters that nobody loads."""
         answer, _ = self.ask("POST", "/live/x", b"p", Model="m1/a2", Token_Usage="10,20")
