Close servers without a race on their trigger, and drop what nothing uses

Another pull of waitress's trigger may wake the loop, which closes the trigger's pipe before the closing thread writes to it. test_schema looked for the page on operating under its old name.

--- a/catkinhook/emulators/platform.py
+++ b/catkinhook/emulators/platform.py
@@ -11,7 +11,6 @@
 import attrs
 import waitress.server
 from result import Err, Ok, Result
-from waitress import wasyncore
 
 from catkinhook.emulators.faults import Faults
 from catkinhook.emulators.memory import MemoryHostList, MemoryObjects, MemoryTable
@@ -19,6 +18,7 @@
 from catkinhook.emulators.weights import WeightLimits, WeightStores
 from catkinhook.errors import StepError, StoreConflict
 from catkinhook.hosts import Host
+from catkinhook.listening import close_sockets
 from catkinhook.settings import MIB, split_address
 from catkinhook.tables import SCAN_LIMIT, Check, Row, Write
 
@@ -114,7 +114,7 @@
             return
         # A request that ends pulls the trigger, so the threads end before it is closed.
         self._server.task_dispatcher.shutdown(timeout=CLOSE_TIMEOUT_S)
-        self._server.trigger.pull_trigger(lambda: wasyncore.close_all(self._sockets))
+        close_sockets(self._server, self._sockets)
         self._thread.join()
 
     def _answer(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
--- a/catkinhook/listening.py
+++ b/catkinhook/listening.py
@@ -1,5 +1,7 @@
 """waitress with problem documents, back pressure and a stop of its listener alone."""
 
+import contextlib
+
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
@@ -36,6 +38,16 @@
         self.header_lines = tuple((name, value.strip(" \t")) for name, _, value in pairs)
 
 
+def close_sockets(server: TcpWSGIServer, sockets: dict) -> None:
+    """Close all sockets of a server's loop in its own thread, which ends the loop.
+
+    Another pull of the trigger may run the function, and close the trigger's pipe, before this pull
+    writes to it.
+    """
+    with contextlib.suppress(OSError):
+        server.trigger.pull_trigger(lambda: wasyncore.close_all(sockets))
+
+
 class GrowingDispatcher(ThreadedTaskDispatcher):
     """waitress's threads, started only when all others are busy.
 
@@ -117,7 +129,7 @@
 
     def shut_down(self) -> None:
         """Close all channels and end the loop and its threads."""
-        self.trigger.pull_trigger(lambda: wasyncore.close_all(self._map))
+        close_sockets(self, self._map)
         self.task_dispatcher.shutdown(timeout=1)
 
     def _mark_idle(self) -> None:
--- a/catkinhook/orderlease.py
+++ b/catkinhook/orderlease.py
@@ -186,10 +186,6 @@
             return False
         return record.nonce == self._nonce
 
-    def note_fence(self, fence: int) -> None:
-        """Use only tokens above one that was seen."""
-        self._highest = max(self._highest, fence)
-
     def _is_free(self, now: float) -> bool:
         if self._changed_at is None:
             return False
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -23,8 +23,6 @@
 STEP = "front"
 # Used for a caller that tells no deadline, and as a bound on what callers tell.
 MAX_DEADLINE_S = 120.0
-# Requests that end this close to the end of a stop would be cut off.
-STOP_MARGIN_S = 0.4
 
 
 @attrs.frozen(kw_only=True)
--- a/catkinhook/platform/store.py
+++ b/catkinhook/platform/store.py
@@ -18,7 +18,6 @@
 CONNECT_TIMEOUT_S = 0.5
 # Unanswered bytes end a connection that went silent without a reset.
 USER_TIMEOUT_MS = 1500
-MAX_ANSWER_BYTES = 4 << 20
 # Rows of one answer, the most that the store returns.
 PAGE_ROWS = 500
 
--- a/catkinhook/scheduling.py
+++ b/catkinhook/scheduling.py
@@ -5,7 +5,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import attrs
 
@@ -464,11 +464,6 @@
     return min(9, 2 * work.route.rank + (1 if patient else 0))
 
 
-def reserve_tokens(works: Iterable[Work]) -> int:
-    """Return the tokens of KV cache that requests are expected to take."""
-    return sum(_reserved(work) for work in works)
-
-
 def _reserved(work: Work) -> int:
     return work.prompt_tokens + int(OUTPUT_SHARE * work.output_tokens)
 
--- /dev/null
+++ b/tests/test_listening.py
@@ -0,0 +1,73 @@
+"""waitress as the daemons use it: threads on demand, close."""
+
+import threading
+import time
+import unittest
+
+from catkinhook.listening import GrowingDispatcher, Server, close_sockets
+
+WAIT_S = 10.0
+
+
+class Task:
+    """A task that runs until it is released."""
+
+    def __init__(self, release: threading.Event) -> None:
+        self._release = release
+        self.is_started = threading.Event()
+
+    def service(self) -> None:
+        """Run."""
+        self.is_started.set()
+        self._release.wait(WAIT_S)
+
+
+class DispatcherTest(unittest.TestCase):
+    """Threads that are started on demand."""
+
+    def test_each_waiting_task_gets_a_thread_up_to_the_limit(self) -> None:
+        """Guards against 230 threads of an idle process, and against tasks that wait for one."""
+        dispatcher, release = GrowingDispatcher(3), threading.Event()
+        self.assertEqual(len(dispatcher.threads), 1)
+        tasks = [Task(release) for _ in range(4)]
+        for task in tasks:
+            dispatcher.add_task(task)
+        for task in tasks[:3]:
+            self.assertTrue(task.is_started.wait(WAIT_S))
+        self.assertEqual(len(dispatcher.threads), 3)
+        self.assertFalse(tasks[3].is_started.is_set())
+        release.set()
+        self.assertTrue(tasks[3].is_started.wait(WAIT_S))
+        dispatcher.shutdown(timeout=1)
+
+
+class CloseTest(unittest.TestCase):
+    """The end of a server's loop."""
+
+    def test_close_while_another_pull_wakes_the_loop(self) -> None:
+        """Guards against "Bad file descriptor" when the loop closes its pipe before the write.
+
+        It was seen once, in a run of all tests beside load.
+        """
+        sockets: dict = {}
+        server = Server(lambda environ, start: [], map=sockets, host="127.0.0.1", port=0)
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+        write = server.trigger._physical_pull
+
+        def pull_late() -> None:
+            write()
+            deadline = time.monotonic() + WAIT_S
+            while server.trigger._fds and time.monotonic() < deadline:
+                time.sleep(0.01)
+            write()
+
+        server.trigger._physical_pull = pull_late
+        close_sockets(server, sockets)
+        thread.join(WAIT_S)
+        self.assertFalse(thread.is_alive())
+        server.task_dispatcher.shutdown(timeout=1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -27,8 +27,8 @@
 
     def test_every_refusal_is_explained_to_operators(self) -> None:
         """Guards against a code that operators can't look up."""
-        page = (ROOT / "docs" / "operating.md").read_text(encoding="utf-8")
-        for path in sorted((ROOT / "catkinhook").glob("*.py")):
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+        for path in sorted((ROOT / "catkinhook").rglob("*.py")):
             text = path.read_text(encoding="utf-8")
             for code, _ in re.findall(r'"([a-z]+(?:-[a-z]+)+)", ([45]\d\d)\b', text):
                 self.assertIn(f"`{code}`", page, path.name)
