--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,171 @@
+"""The adapter: settings, records, the store's client, and the boundary of its names."""
+
+import json
+import re
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkinhook.errors import Effect, StoreConflict
+from catkinhook.platform.boot import parse_boot_text
+from catkinhook.platform.names import OWN_TABLE
+from catkinhook.platform.records import decode_configuration, decode_endpoint, decode_report
+from catkinhook.platform.store import StoreClient, TableFeed, TableRow
+from catkinhook.routes import Repeat
+from tests.platform_standin import FakeEndpoint, FakeStore, make_configuration
+
+PACKAGE = Path(__file__).resolve().parent.parent / "catkinhook"
+
+BOOT = """
+node=front-1
+zone=z1
+listen.front=10.0.0.1:80
+listen.ready=10.0.0.1:81
+listen.control=10.0.0.1:82
+platform.address=10.0.0.9:90
+seeds=10.0.0.1:82,10.0.0.2:82
+bounds.drain_ms=2500
+bounds.require_fence=true
+something.new=17
+"""
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+
+
+class BoundaryTest(unittest.TestCase):
+    """Where the platform's names may stand."""
+
+    def test_only_the_adapter_names_the_platform(self) -> None:
+        """Guards against decisions that depend on one platform's names."""
+        names = (
+            r"attempt-id|response-seal|expect-instance|instance-id|server-load|not-executed|"
+            r"token-usage|prompt-prefix|request-priority|rows-(tx|get|feed|parts)|hold-take|"
+            r"kv-(fetch|move|backup|pin|events|from)|deadline-ms|CATKINHOOK_BOOT|fleetbench"
+        )
+        found = [
+            str(path.relative_to(PACKAGE))
+            for path in PACKAGE.rglob("*.py")
+            if "platform" not in path.parts[len(PACKAGE.parts) :][:1]
+            and re.search(names, path.read_text(encoding="utf-8"), re.IGNORECASE)
+        ]
+        self.assertEqual(found, [])
+
+
+class BootTest(unittest.TestCase):
+    """The settings file."""
+
+    def test_known_fields_are_read_and_others_ignored(self) -> None:
+        """Guards against a unit that is off by a thousand, and against new fields that stop it."""
+        settings = parse_boot_text(BOOT, "f").unwrap()
+        self.assertEqual(settings.bounds.drain_s, 2.5)
+        self.assertTrue(settings.bounds.engines_check_fences)
+        self.assertEqual(settings.seeds, ("10.0.0.1:82", "10.0.0.2:82"))
+        self.assertEqual(settings.bounds.lease_s, 3.0)
+
+    def test_all_faults_are_told_at_once(self) -> None:
+        """Guards against settings that are mended one error at a time."""
+        text = BOOT.replace("node=front-1", "").replace("10.0.0.1:80", "front").replace("2500", "x")
+        faults = parse_boot_text(text, "f").unwrap_err()
+        keys = {fault.key for fault in faults}
+        self.assertEqual(keys, {"node", "listen.front", "bounds.drain_ms"})
+
+    @given(st.text())
+    def test_rubbish_is_refused_with_reasons(self, text: str) -> None:
+        """Guards against a settings file that ends the process with a traceback."""
+        self.assertTrue(parse_boot_text(text, "f").unwrap_err())
+
+
+class RecordsTest(unittest.TestCase):
+    """Configurations, entries and reports."""
+
+    def test_kinds_of_routes(self) -> None:
+        """Guards against a posting, or a stream that may not be resumed, that runs twice."""
+        table = decode_configuration(json.dumps(make_configuration()).encode()).unwrap()
+        repeat = {route.name: route.repeat for route in table.routes}
+        expected = {
+            "live": Repeat.RESUME,
+            "digest": Repeat.NEVER,
+            "post": Repeat.NEVER,
+            "look": Repeat.ALWAYS,
+        }
+        self.assertEqual(repeat, expected)
+        self.assertEqual(table.match("H.Example", "/live/x").name, "live")
+        self.assertIsNone(table.match("h.example", "/live"))
+
+    def test_longest_prefix_wins(self) -> None:
+        """Guards against requests of a narrow route that run on a wide one."""
+        configuration = make_configuration()
+        wide = {**configuration["routes"][3], "name": "wide", "path_prefix": "/"}
+        configuration["routes"].append(wide)
+        table = decode_configuration(json.dumps(configuration).encode()).unwrap()
+        self.assertEqual(table.match("h.example", "/look/x").name, "look")
+        self.assertEqual(table.match("h.example", "/other").name, "wide")
+
+    @given(JSON)
+    def test_any_json_is_a_value_or_a_reason(self, value: object) -> None:
+        """Guards against rows of other writers that raise in a watch."""
+        raw = json.dumps(value).encode()
+        for decoded in (
+            decode_configuration(raw),
+            decode_endpoint("i", raw),
+            decode_report(raw),
+        ):
+            self.assertTrue(decoded.is_ok() or decoded.unwrap_err())
+
+    @given(st.sampled_from(("service", "address", "zone", "slots", "state", "models")), JSON)
+    def test_entry_with_one_strange_field(self, field: str, value: object) -> None:
+        """Guards against an entry that is half right."""
+        entry = {**FakeEndpoint("i-e", ("m1",)).entry("llm"), field: value}
+        decoded = decode_endpoint("i-e", json.dumps(entry).encode())
+        self.assertTrue(decoded.is_ok() or decoded.unwrap_err())
+
+
+class StoreTest(unittest.TestCase):
+    """The store's client."""
+
+    def setUp(self) -> None:
+        self.store = FakeStore()
+        self.store.start()
+        self.addCleanup(self.store.close)
+        self.client = StoreClient(self.store.address)
+        self.addCleanup(self.client.close)
+        self.row = TableRow(self.client, OWN_TABLE, "k")
+
+    def test_write_under_a_condition(self) -> None:
+        """Guards against a write over another host's."""
+        version = self.row.write(0, b"one").unwrap()
+        self.assertIsInstance(self.row.write(0, b"two").unwrap_err(), StoreConflict)
+        self.assertEqual(self.row.read().unwrap().version, version)
+        self.assertEqual(self.row.read().unwrap().value, b"one")
+
+    def test_lost_answer_is_unknown_and_refusal_is_not(self) -> None:
+        """Guards against a write that is taken as not done though it was."""
+        self.store.lose_answers = 1
+        self.assertIs(self.row.write(0, b"one").unwrap_err().effect, Effect.UNKNOWN)
+        self.assertEqual(self.row.read().unwrap().value, b"one")
+        for status in (429, 503):
+            self.store.status = status
+            self.assertIs(self.row.write(0, b"two").unwrap_err().effect, Effect.NONE)
+
+    def test_feed_tells_of_drops_and_lists_anew_without_history(self) -> None:
+        """Guards against endpoints that stay after their entry was dropped."""
+        feed = TableFeed(self.client, "servers")
+        self.store.put("servers", "a", {})
+        self.store.put("servers", "b", {})
+        listed = feed.follow(None, 0.1).unwrap()
+        self.assertEqual((set(listed.value_by_key), listed.whole), ({"a", "b"}, True))
+        self.store.drop("servers", "a")
+        self.assertEqual(feed.follow(listed.version, 0.1).unwrap().removed, {"a"})
+        self.store.history_from = self.store.version + 1
+        again = feed.follow(listed.version, 0.1).unwrap()
+        self.assertEqual((set(again.value_by_key), again.whole), ({"b"}, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
