Tell in logs and metrics whether the holder keeps up

The holder logs a line for its plans of two seconds (time of a plan, wait of reports, missing items, free and loading engines) and has histograms of the first two. The line of a lease that is regained tells how late it is, and a refusal for want of an item tells how old the holder's word is. No decision changes.

--- a/catkinhook/control/holding.py
+++ b/catkinhook/control/holding.py
@@ -11,6 +11,7 @@
 from catkinhook.control.enginestates import OrderedEngines
 from catkinhook.control.provisioning import Command, Provisioner
 from catkinhook.operations.decisionlog import DecisionLog
+from catkinhook.operations.hostmetrics import HostMetrics
 from catkinhook.peering.hostmessages import HolderView, Holding, HostReport, make_holding
 from catkinhook.requests.routes import RouteTable
 from catkinhook.state.views import EndpointView
@@ -32,6 +33,8 @@
 HEARD_PAUSES = 2.5
 # A host that has not reported for this long, or ``HEARD_PAUSES``, is left out of the demand.
 REPORT_LIFE_S = 2.0
+# Seconds between lines that sum up the plans.
+SUMMARY_INTERVAL_S = 2.0
 # Orders and reports in progress over all engines.
 MAX_CALLS = 12
 
@@ -94,6 +97,19 @@
         return tuple(h for h, changed in self._holding_by_id.values() if changed > revision)
 
 
+@attrs.define
+class _Summary:
+    """What the plans since the last line about them took, in seconds.
+
+    :ivar longest_wait_s: longest wait of a report for the actor.
+    """
+
+    since: float = 0.0
+    plans: int = 0
+    longest_plan_s: float = 0.0
+    longest_wait_s: float = 0.0
+
+
 class Holder:
     """Plans and sends orders while this host holds the lease.
 
@@ -110,10 +126,13 @@
         engines: OrderedEngines,
         may_order: Callable[[], bool],
         on_fenced: Callable[[], None],
+        metrics: HostMetrics,
         log: DecisionLog,
         clock: Clock,
     ) -> None:
         self._node = node
+        self._metrics = metrics
+        self._summary = _Summary()
         self._desk: Owned[_Desk] = Owned(_Desk(provisioner))
         self._engines = engines
         self._may_order = may_order
@@ -171,6 +190,9 @@
         now = self._clock()
 
         def handle(desk: _Desk) -> HolderView:
+            waited_s = self._clock() - now
+            self._metrics.report_wait.observe(waited_s)
+            self._summary.longest_wait_s = max(self._summary.longest_wait_s, waited_s)
             desk.take(report, now)
             waited_for = {key for key, wanted in report.demand_by_item.items() if wanted.waiting}
             if waited_for or now - desk.refreshed_at >= REFRESH_S:
@@ -220,6 +242,29 @@
         for command in desk.provisioner.plan(now):
             self._submit(lambda command=command: self._send(command))
         desk.note_holdings()
+        self._note_plan(desk, now)
+
+    def _note_plan(self, desk: _Desk, began: float) -> None:
+        now = self._clock()
+        self._metrics.plan_duration.observe(now - began)
+        summary = self._summary
+        summary.plans += 1
+        summary.longest_plan_s = max(summary.longest_plan_s, now - began)
+        if now - summary.since < SUMMARY_INTERVAL_S:
+            return
+        status = desk.provisioner.status()
+        self._metrics.missing_items.set(status.missing)
+        self._log.record(
+            "plan",
+            outcome="summary",
+            fence=self._fence,
+            hosts=len(desk.report_by_node),
+            plans=summary.plans,
+            longest_plan_s=round(summary.longest_plan_s, 3),
+            longest_wait_s=round(summary.longest_wait_s, 3),
+            **attrs.asdict(status),
+        )
+        self._summary = _Summary(since=now)
 
     def _submit(self, call: Callable[[], None]) -> None:
         if not self._stop.is_set():
--- a/catkinhook/control/leasekeeper.py
+++ b/catkinhook/control/leasekeeper.py
@@ -174,12 +174,18 @@
     def _hold(self, version: int, record: LeaseRecord, sent_at: float, is_renewal: bool) -> None:
         with self._lock:
             was_held = self._lease.is_held(self._clock())
+            late_s = self._lease.seconds_late(self._clock())
             self._lease.hold(version, record, sent_at, self._clock())
             left = round(self._lease.seconds_left(self._clock()), 3)
         self._was_held = True
         if not is_renewal or not was_held:
             # An answer that comes late leaves little of the lease, which is counted from the send.
             self._log.record(
-                "lease", outcome="acquired", fence=record.fence, version=version, left_s=left
+                "lease",
+                outcome="acquired",
+                fence=record.fence,
+                version=version,
+                left_s=left,
+                late_s=round(late_s, 3) if is_renewal else 0.0,
             )
             self._on_acquire(record.fence, record.rates)
--- a/catkinhook/control/orderlease.py
+++ b/catkinhook/control/orderlease.py
@@ -107,6 +107,10 @@
         """Return the seconds for which this host may give orders without a renewal."""
         return max(0.0, self._held_until - now)
 
+    def seconds_late(self, now: float) -> float:
+        """Return the seconds since the lease that this host held has lapsed, 0 before."""
+        return max(0.0, now - self._held_until) if math.isfinite(self._held_until) else 0.0
+
     def fail(self, now: float) -> None:
         """Record a renewal that the store did not answer, while the lease is held."""
         if self.is_held(now):
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -47,6 +47,8 @@
 # An adapter that nobody waits for displaces only what has rested this long: callers that were
 # refused come back within a few seconds, and two such adapters must not displace each other.
 UNAWAITED_REST_S = 2.0
+# Refused requests a second for an item from which on it counts as asked for.
+MIN_UNMET_RATE = 0.05
 # Requests of one adapter in progress on one engine at which another engine should have it too.
 ADAPTER_CROWD = 12
 # Seconds until an engine has a place, when none has one now.
@@ -82,6 +84,24 @@
     order: SequencedOrder
 
 
+@attrs.frozen(kw_only=True)
+class ProvisioningStatus:
+    """Numbers that tell whether engines or plans are short.
+
+    :ivar missing: models and adapters that requests ask for and no usable engine holds.
+    :ivar models_without_copy: models among them.
+    :ivar engines: engines whose state is known and which count as places.
+    :ivar free: engines that would take an order now.
+    :ivar loading: engines that load a model.
+    """
+
+    missing: int
+    models_without_copy: int
+    engines: int
+    free: int
+    loading: int
+
+
 class Provisioner:
     """State of all engines and the orders to them; one actor calls it.
 
@@ -312,6 +332,26 @@
         """Return the seconds until items that are missing will be available."""
         return {item: max(0.0, at - now) for item, at in self._expected.items()}
 
+    def status(self) -> ProvisioningStatus:
+        """Return numbers on demand that isn't met and on what engines do."""
+        usable = [book for book in self.holdings() if book.is_usable]
+        models = {name for book in usable for name in book.usable_models()}
+        items = models | {item for book in usable for item in book.held_adapters()}
+        missing = [
+            item
+            for (_, item), wanted in self._demand.items()
+            if item and item not in items and (wanted.waiting or wanted.unmet > MIN_UNMET_RATE)
+        ]
+        return ProvisioningStatus(
+            missing=len(missing),
+            models_without_copy=len({item.partition("/")[0] for item in missing} - models),
+            engines=len(usable),
+            free=sum(book.is_free for book in usable),
+            loading=sum(
+                book.open_order is not None and book.open_order.order.is_load for book in usable
+            ),
+        )
+
     def _report_interval(self, book: Book, now: float) -> float:
         order = book.open_order
         if book.sequence < 0 or book.settle_at is not None:
@@ -527,7 +567,9 @@
         wanted = [
             (demand, item)
             for (owner, item), demand in self._demand.items()
-            if owner == service and "/" in item and (demand.waiting or demand.unmet > 0.05)
+            if owner == service
+            and "/" in item
+            and (demand.waiting or demand.unmet > MIN_UNMET_RATE)
         ]
         for demand, item in sorted(wanted, key=lambda pair: -pair[0].waiting):
             name, _, adapter = item.partition("/")
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -169,6 +169,7 @@
             platform.engines,
             lambda: self.lease.is_held(),
             lambda: self.lease.drop("an engine has seen a higher fencing token"),
+            self.metrics,
             self.log,
             boot_clock,
         )
--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -26,6 +26,18 @@
             "first_event_seconds", "Time to the first bytes.", labels, buckets=_SECONDS, **own
         )
         self.in_progress = Gauge("requests_in_progress", "Requests that hold a slot.", **own)
+        self.report_wait = Histogram(
+            "holder_report_wait_seconds",
+            "Wait of another host's report for the actor of the holder.",
+            buckets=_SECONDS,
+            **own,
+        )
+        self.plan_duration = Histogram(
+            "holder_plan_seconds", "Time of one plan of the holder.", buckets=_SECONDS, **own
+        )
+        self.missing_items = Gauge(
+            "holder_missing_items", "Models and adapters that are asked for and not held.", **own
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the text format."""
--- a/catkinhook/requests/scheduling.py
+++ b/catkinhook/requests/scheduling.py
@@ -127,6 +127,7 @@
         self._waiting: list[Ticket] = []
         self._demand_by_item: dict[tuple[str, str], ItemDemand] = {}
         self._expected_by_item: dict[tuple[str, str], float] = {}
+        self._told_at: float | None = None
         self._absent_until: dict[tuple[str, str], float] = {}
         self._down_until: dict[str, float] = {}
         self._window_by_service: dict[str, retries.RetryWindow] = {}
@@ -174,6 +175,7 @@
     def set_expected(self, seconds_by_item: dict[tuple[str, str], float], now: float) -> None:
         """Take over in how many seconds missing items will be available."""
         self._expected_by_item = {item: now + s for item, s in seconds_by_item.items()}
+        self._told_at = now
         self.serve_waiting(now)
 
     def note_load(self, endpoint: str, running: int, waiting: int, now: float) -> None:
@@ -473,10 +475,16 @@
             return now + pace * (ahead + 1), self._explain_full(work, now)
         expected = self._expected_by_item.get(key)
         if expected is not None:
-            return max(now, expected), f"{work.item or work.service!r} is not available yet"
+            reason = f"{work.item or work.service!r} is not available yet"
+            return max(now, expected), f"{reason}; {self._explain_word(now)}"
         longest = UNKNOWN_WAIT_SHARE * (work.gives_up_at() - work.arrived)
         at = now if now - ticket.since < longest else math.inf
-        return at, f"no endpoint has {work.item or work.service!r}"
+        return at, f"no endpoint has {work.item or work.service!r}; {self._explain_word(now)}"
+
+    def _explain_word(self, now: float) -> str:
+        if self._told_at is None:
+            return "the holder was never heard"
+        return f"the holder was heard {now - self._told_at:.2f} s ago"
 
     def _explain_full(self, work: Work, now: float) -> str:
         states = []
