--- /dev/null
+++ b/tests/test_holding.py
@@ -0,0 +1,207 @@
+"""The holder of the order lease under the load of many hosts and engines."""
+
+import sys
+import threading
+import unittest
+from collections.abc import Callable
+
+import attrs
+from result import Ok
+
+from catkinhook.control.enginebooks import Demand
+from catkinhook.control.enginestates import EngineState
+from catkinhook.control.holding import PLAN_SHARE, Holder
+from catkinhook.control.provisioning import Provisioner
+from catkinhook.hostsettings import Bounds
+from catkinhook.operations.decisionlog import DecisionLog
+from catkinhook.operations.hostmetrics import HostMetrics
+from catkinhook.requests.routes import EngineSpec, ModelSpec, RouteTable, ServiceSpec
+from catkinhook.state.views import EndpointView
+
+MODELS_PER_ENGINE = 3
+# Part of the models that hosts ask for with adapters, and adapters of each of them.
+ADAPTED_SHARE = 0.2
+ADAPTERS = 8
+# Calls beyond what the larger of two fleets should take, for what does not grow with it.
+CALL_ALLOWANCE = 1.2
+PLAN_S = 0.1
+REPORT_GAP_S = 0.05
+
+
+def make_views(count: int) -> list[EndpointView]:
+    """Return engines."""
+    return [
+        EndpointView(
+            endpoint=f"e{number}", address="a", service="llm", zone="z", boot_id="1", slots=16
+        )
+        for number in range(count)
+    ]
+
+
+def make_state(models: frozenset[str]) -> EngineState:
+    """Return the report of an idle engine."""
+    return EngineState(
+        boot_id="1",
+        sequence=0,
+        busy=False,
+        models=models,
+        adapters=frozenset(),
+        on_disk=models,
+    )
+
+
+def make_fleet(engines: int, models: int) -> Provisioner:
+    """Return the plan of a fleet whose engines are known, and that misses a third of the models."""
+    by_name = {
+        f"m{number}": ModelSpec(
+            name=f"m{number}",
+            memory_mb=72_700.0,
+            load_s=8.6,
+            disk_load_s=1.7,
+            memory_load_s=0.8,
+            adapter_mb=66.0,
+            adapters=ADAPTERS if number < ADAPTED_SHARE * models else 0,
+        )
+        for number in range(models)
+    }
+    spec = EngineSpec(
+        slots=16,
+        cache_tokens=64_585,
+        memory_mb=220_000.0,
+        adapter_places=8,
+        loads_per_s=13.0,
+        model_by_name=by_name,
+    )
+    service = ServiceSpec(name="llm", max_connections=580, engine=spec)
+    provisioner = Provisioner("host", Bounds())
+    provisioner.set_table(RouteTable(version=1, routes=(), service_by_name={"llm": service}))
+    provisioner.set_endpoints(make_views(engines), 0.0)
+    provisioner.begin(1, {}, 0.0)
+    for number, view in enumerate(make_views(engines)):
+        first = MODELS_PER_ENGINE * number
+        held = frozenset(f"m{first + place}" for place in range(MODELS_PER_ENGINE))
+        state = make_state(held)
+        provisioner.note_state(view.endpoint, state, 0.0)
+    demand = {}
+    for name, model in by_name.items():
+        demand["llm", name] = Demand(rate=1.0, waiting=1, running=1)
+        for adapter in range(model.adapters):
+            demand["llm", f"{name}/a{adapter}"] = Demand(rate=0.2, waiting=1)
+    provisioner.set_demand(demand, 10.0)
+    return provisioner
+
+
+def count_calls(work: Callable[[], object]) -> int:
+    """Return the Python calls that a function makes, which do not depend on the machine."""
+    calls = 0
+
+    def note(frame: object, event: str, argument: object) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(note)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+class PlanCostTest(unittest.TestCase):
+    """Work of one plan."""
+
+    def test_work_of_a_plan_grows_with_engines_times_models_at_most(self) -> None:
+        """Guards against a plan that takes seconds on a large fleet.
+
+        On jusoor-alerts-grown a plan for 45 engines and 196 models took longer than the lease, so
+        that orders nearly stopped and models that were asked for through the day never came.
+        """
+        small, large = make_fleet(9, 40), make_fleet(45, 200)
+        calls = count_calls(lambda: small.plan(10.0))
+        most = 5 * 5 * CALL_ALLOWANCE * calls
+        self.assertLessEqual(count_calls(lambda: large.plan(10.0)), most)
+
+
+class SlowProvisioner(Provisioner):
+    """Plans that take their time on the clock of a test."""
+
+    def __init__(self, spend: Callable[[float], None]) -> None:
+        super().__init__("host", Bounds())
+        self._spend = spend
+        self.planned_s = 0.0
+
+    def plan(self, now: float) -> list:
+        """Return nothing, after a while."""
+        self._spend(PLAN_S)
+        self.planned_s += PLAN_S
+        return []
+
+
+@attrs.define
+class IdleEngines:
+    """Engines that report at once."""
+
+    def state(self, endpoint: EndpointView) -> Ok:
+        """Return a report."""
+        return Ok(make_state(frozenset()))
+
+    def order(self, endpoint: EndpointView, order: object) -> Ok:
+        """Refuse nothing, because no order is planned."""
+        raise AssertionError("no order was planned")
+
+
+class HolderTest(unittest.TestCase):
+    """A holder on a clock that the test moves."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.provisioner = SlowProvisioner(self.spend)
+        self.provisioner.set_endpoints(make_views(45), self.now)
+        self.holder = Holder(
+            "host",
+            self.provisioner,
+            IdleEngines(),
+            lambda: True,
+            lambda: None,
+            HostMetrics(),
+            DecisionLog("host"),
+            lambda: self.now,
+        )
+        # Without the thread that plans, only the calls of a test move the state.
+        self.holder._desk.start()
+        self.addCleanup(self.holder._desk.close)
+
+    def spend(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now += seconds
+
+    def test_reports_of_engines_leave_time_to_answer_hosts(self) -> None:
+        """Guards against a plan for each answer of an engine.
+
+        On jusoor-alerts-grown 45 engines kept the holder planning, and hosts gave up on it.
+        """
+        began = self.now
+        for number in range(200):
+            self.holder._read_state(make_views(45)[number % 45])
+            self.holder._desk.ask(lambda desk: None)
+            self.spend(REPORT_GAP_S)
+        elapsed = self.now - began
+        self.assertGreater(self.provisioner.planned_s, 0.0)
+        self.assertLessEqual(self.provisioner.planned_s, PLAN_SHARE * elapsed + PLAN_S)
+
+    def test_renewal_of_the_lease_does_not_wait_for_a_plan(self) -> None:
+        """Guards against a lease that lapses because its holder is busy with a plan.
+
+        On jusoor-alerts-grown the holder regained its lease up to nine times a day, seconds late.
+        """
+        has_rates = threading.Event()
+        waited: list[bool] = []
+        self.holder._desk.tell(lambda desk: waited.append(has_rates.wait(2.0)))
+        self.holder.find_rates()
+        has_rates.set()
+        self.holder._desk.ask(lambda desk: None)
+        self.assertEqual(waited, [True])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_orderlease.py
+++ b/tests/test_orderlease.py
@@ -88,6 +88,42 @@
         self.assertFalse(was_held)
         self.assertEqual([fence for _, fence in self.acquired], [1, 2])
 
+    def test_late_renewal_does_not_begin_a_new_tenure(self) -> None:
+        """Guards against a holder that forgets all engines when its renewal was late.
+
+        On jusoor-alerts-grown that happened up to nine times a day; each time all engines were
+        asked anew, and half of the weight store's rate counted as spent.
+        """
+        first = self.make("a")
+        self.run_for(2, first)
+        find_rates = first._find_rates
+
+        def find_late() -> dict[str, float]:
+            self.now += LEASE_S
+            return find_rates()
+
+        first._find_rates = find_late
+        self.run_for(2, first)
+        first._find_rates = find_rates
+        self.run_for(1, first)
+        self.assertTrue(first.is_held())
+        self.assertEqual(self.acquired, [("a", 1)])
+
+    def test_lease_outlives_a_step_that_fails(self) -> None:
+        """Guards against a host that never renews or takes the lease again after one error."""
+        keeper = self.make("a")
+        steps: list[float] = []
+
+        def fail() -> None:
+            steps.append(self.now)
+            keeper._stop.set()
+            raise TimeoutError("the actor is stuck")
+
+        keeper.step = fail
+        keeper._stop.wait = lambda timeout: keeper._stop.is_set()
+        keeper._run()
+        self.assertEqual(len(steps), 1)
+
     def test_paused_holder_does_not_go_on(self) -> None:
         """Guards against a holder that was frozen past its lease and still orders."""
         first = self.make("a", may_extend=True)
