Work out copies, memory and victims once a plan

Cause: for each missing model and engine a plan summed the demand of all adapters, and for each of these looked through the models of all engines.

Change: a plan works on an EnginePool, which keeps the copies and loads by model, and by engine its memory, its adapters' rate and the model to drop first, until the plan changes an engine. The last use of an item is kept once instead of for each engine.

--- a/catkinhook/control/enginebooks.py
+++ b/catkinhook/control/enginebooks.py
@@ -82,7 +82,6 @@
     reported_at: float = float("-inf")
     asked_at: float = float("-inf")
     loaded_at: dict[str, float] = attrs.Factory(dict)
-    used_at: dict[str, float] = attrs.Factory(dict)
     running: int = 0
     running_by_model: dict[str, int] = attrs.Factory(dict)
     planned: str = ""
@@ -147,11 +146,6 @@
         return model.disk_load_s if model.name in self.on_disk else model.load_s
 
 
-def find_copies(books: list[Book], name: str) -> list[Book]:
-    """Return the usable engines that requests for a model may be sent to."""
-    return [b for b in books if name in b.usable_models() and b.is_usable]
-
-
 def find_free_time(book: Book, now: float) -> float:
     """Return when an engine takes its next order."""
     order = book.open_order
--- a/catkinhook/control/modelplans.py
+++ b/catkinhook/control/modelplans.py
@@ -1,8 +1,7 @@
 """Decisions on copies of models: which need one, on which engine, and what makes room for it."""
 
-from collections.abc import Callable
-
-from catkinhook.control.enginebooks import NO_DEMAND, Book, Demand, find_copies, is_loading
+from catkinhook.control.enginebooks import Book, Demand
+from catkinhook.control.enginepool import EnginePool
 from catkinhook.requests.routes import EngineSpec, ModelSpec
 
 # A model stays for this long after it was loaded, so that those who wait for it are served.
@@ -16,8 +15,6 @@
 SPARE_COPY_RATE = 1.0
 # Requests a second at which a model that no engine holds is loaded on two engines at once.
 HOT_RATE = 3.0
-# A load with more than this left counts as one that keeps its engine for long.
-LONG_LOAD_S = 2.0
 # Part of the engines that may load from the weight store at once for models without many callers.
 # The others stay free for models whose demand rises or whose engine is lost.
 RARE_LOAD_SHARE = 0.5
@@ -38,16 +35,14 @@
     return max(wanted.rate, wanted.unmet) >= HOT_RATE
 
 
-def find_needs(
-    spec: EngineSpec, books: list[Book], demand: dict[str, Demand]
-) -> list[tuple[str, float]]:
+def find_needs(pool: EnginePool) -> list[tuple[str, float]]:
     """Return the models that need a copy, with the requests it would serve, most first."""
     needs = []
-    for name, wanted in demand.items():
+    spec = pool.spec
+    for name, wanted in pool.demand.items():
         if name not in spec.model_by_name:
             continue
-        copies = find_copies(books, name)
-        coming = [b for b in books if is_loading(b, name) and b.is_usable]
+        copies, coming = pool.copies(name), pool.loading(name)
         if coming and (copies or not is_hot(wanted) or len(coming) > 1):
             continue
         lasting = wanted.waiting + HORIZON_S * max(wanted.rate, wanted.unmet)
@@ -66,39 +61,26 @@
 
 
 def choose_engine(
-    spec: EngineSpec,
-    books: list[Book],
-    demand: dict[str, Demand],
-    model: ModelSpec,
-    gain: float,
-    find_adapter_rate: Callable[[Book], float],
-    now: float,
+    pool: EnginePool, model: ModelSpec, gain: float
 ) -> tuple[Book, str, float] | None:
     """Return the engine for a copy, the model to drop there first, and the seconds it takes.
 
     :param gain: requests that the copy would serve.
-    :param find_adapter_rate: requests a second for adapters that an engine would have to bring.
     """
     best: tuple[float, Book, str, float] | None = None
-    for book in books:
-        if not book.is_usable or book.sequence < 0 or model.name in book.adapters:
-            continue
-        if book.settle_at is not None or book.planned:
+    for book in pool.places():
+        if model.name in book.adapters:
             continue
-        seconds = book.load_seconds(model)
-        order = book.open_order
-        if order is not None:
-            left = order.done_at - now
-            seconds += min(left, model.disk_load_s) if left != float("inf") else 0.5
+        seconds = book.load_seconds(model) + pool.busy_seconds(book, model.disk_load_s)
         victim, loss, retire_s = "", 0.0, 0.0
-        if book.memory_mb(spec) + model.memory_mb > spec.memory_mb:
-            found = choose_victim(spec, books, book, demand, now)
+        if pool.memory_mb(book) + model.memory_mb > pool.spec.memory_mb:
+            found = choose_victim(pool, book)
             if found is None:
                 continue
             victim, loss = found
             retire_s = RETIRE_S if book.running_by_model.get(victim) else 0.0
         # No adapter can be brought there meanwhile, but most of those who wait stay.
-        loss += DELAY_COST * seconds * find_adapter_rate(book)
+        loss += DELAY_COST * seconds * pool.adapter_rate(book)
         if loss + MIN_GAIN >= gain:
             continue
         cost = loss + DELAY_COST * (seconds + retire_s) * gain + 0.02 * book.running
@@ -107,27 +89,28 @@
     return None if best is None else best[1:]
 
 
-def choose_victim(
-    spec: EngineSpec,
-    books: list[Book],
-    book: Book,
-    demand: dict[str, Demand],
-    now: float,
-) -> tuple[str, float] | None:
+def choose_victim(pool: EnginePool, book: Book) -> tuple[str, float] | None:
     """Return the model whose copy is missed least, and the requests that its loss costs."""
+    endpoint = book.view.endpoint
+    if endpoint not in pool.victim_by_id:
+        pool.victim_by_id[endpoint] = _compare_victims(pool, book)
+    return pool.victim_by_id[endpoint]
+
+
+def _compare_victims(pool: EnginePool, book: Book) -> tuple[str, float] | None:
     best: tuple[str, float] | None = None
-    for name in book.usable_models():
-        if now - book.loaded_at.get(name, float("-inf")) < MIN_RESIDENCE_S:
+    for name in pool.usable_models(book):
+        if pool.now - book.loaded_at.get(name, float("-inf")) < MIN_RESIDENCE_S:
             continue
-        wanted = demand.get(name, NO_DEMAND)
-        copies = len(find_copies(books, name))
+        wanted = pool.wanted(name)
+        copies = len(pool.copies(name))
         if copies <= 1:
             if wanted.waiting:
                 continue
             loss = 2.0 * HORIZON_S * wanted.rate + 2.0 * wanted.running
         else:
             # What runs here is finished first, and the other copies take what comes.
-            places = spec.slots * (copies - 1)
+            places = pool.spec.slots * (copies - 1)
             crowded = max(0.0, wanted.running + wanted.waiting - CROWDED_SHARE * places)
             spare = 0.3 * HORIZON_S * wanted.rate if copies == 2 else 0.0
             loss = crowded + spare + 0.3 * wanted.running / copies
@@ -151,15 +134,6 @@
     return min(spare, key=lambda name: (resident[name], name), default="")
 
 
-def is_in_long_load(book: Book, spec: EngineSpec, now: float) -> bool:
-    """Whether an engine is in a load that takes seconds yet, or is about to be."""
-    if book.open_order is not None and book.open_order.order.is_load:
-        return book.open_order.done_at - now > LONG_LOAD_S
-    is_load = book.sending is not None and book.sending.is_load and not book.sending.adapter
-    model = spec.model_by_name.get(book.sending.model if is_load else book.planned)
-    return model is not None and book.load_seconds(model) > LONG_LOAD_S
-
-
 def max_rare_loads(books: list[Book]) -> int:
     """Return how many engines may be in such loads for models without many callers."""
     return max(1, int(RARE_LOAD_SHARE * sum(book.is_usable for book in books)))
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -16,18 +16,17 @@
     Book,
     Demand,
     OpenOrder,
-    find_copies,
     find_free_time,
     group_adapters,
     is_loading,
 )
+from catkinhook.control.enginepool import EnginePool
 from catkinhook.control.enginestates import EngineState, OrderReply, SequencedOrder
 from catkinhook.control.modelplans import (
     choose_engine,
     choose_spare,
     find_needs,
     is_hot,
-    is_in_long_load,
     max_rare_loads,
 )
 from catkinhook.hostsettings import Bounds
@@ -114,6 +113,8 @@
         self._table: RouteTable | None = None
         self._books: dict[str, Book] = {}
         self._demand: dict[tuple[str, str], Demand] = {}
+        self._items_by_model: dict[tuple[str, str], list[str]] = {}
+        self._used_at: dict[str, float] = {}
         self._store_loads: deque[float] = deque()
         self._expected: dict[tuple[str, str], float] = {}
         self._fence = 0
@@ -157,11 +158,12 @@
     def set_demand(self, demand: dict[tuple[str, str], Demand], now: float) -> None:
         """Take over the demand of all hosts."""
         self._demand = demand
-        for (_, item), wanted in demand.items():
-            if not wanted.running and not wanted.waiting:
-                continue
-            for book in self._books.values():
-                book.used_at[item] = now
+        self._items_by_model = {}
+        for (service, item), wanted in demand.items():
+            key = (service, item.partition("/")[0])
+            self._items_by_model.setdefault(key, []).append(item)
+            if wanted.running or wanted.waiting:
+                self._used_at[item] = now
 
     def suspect(self, endpoints: Iterable[str]) -> None:
         """Ask engines that some host could not reach for a report."""
@@ -298,9 +300,15 @@
         commands = self._send_again()
         for service in self._table.service_by_name.values():
             if service.engine is not None:
-                books = [b for b in self._books.values() if b.view.service == service.name]
-                commands += self._plan_models(service.name, service.engine, books, now)
-                commands += self._plan_adapters(service.name, service.engine, books, now)
+                pool = EnginePool(
+                    service.engine,
+                    [b for b in self._books.values() if b.view.service == service.name],
+                    self._model_demand(service.name),
+                    self._adapter_rates(service.name),
+                    now,
+                )
+                commands += self._plan_models(service.name, pool)
+                commands += self._plan_adapters(service.name, pool)
         return commands
 
     def _send_again(self) -> list[Command]:
@@ -380,65 +388,61 @@
             else:
                 book.adapters.pop(order.order.model, None)
 
-    def _plan_models(
-        self, service: str, spec: EngineSpec, books: list[Book], now: float
-    ) -> list[Command]:
-        commands = self._load_planned(spec, books, now)
-        demand = self._model_demand(service)
-        if now - self._begun_at < GATHER_S:
+    def _plan_models(self, service: str, pool: EnginePool) -> list[Command]:
+        commands = self._load_planned(pool)
+        if pool.now - self._begun_at < GATHER_S:
             return commands
-        if not demand:
-            commands += self._spread_copies(spec, books, now)
-
-        def find_rate(book: Book) -> float:
-            return self._adapter_rate(book, books)
-
-        for name, gain in find_needs(spec, books, demand):
-            model = spec.model_by_name[name]
-            is_missing = not find_copies(books, name)
-            found = choose_engine(spec, books, demand, model, gain, find_rate, now)
-            ends = sorted(
-                book.open_order.done_at - now
-                for book in books
-                if book.is_usable and is_in_long_load(book, spec, now) and book.open_order
-            )
-            long_loads = sum(is_in_long_load(b, spec, now) for b in books if b.is_usable)
-            is_full = long_loads >= max_rare_loads(books) and not is_hot(demand[name])
-            must_wait = found is not None and is_full and not found[0].has_copy(name)
-            if is_missing:
-                # Without a place now, the next one is likely to be free soon.
-                wait = found[2] if found else model.disk_load_s + NEXT_PLACE_S
-                if must_wait and ends:
-                    wait += ends[0]
-                self._expect(service, name, now + wait)
-            if found is None or must_wait:
-                continue
-            book, victim, _ = found
-            if not book.is_free or not self._may_load(book, model, spec, now):
-                continue
-            if victim:
-                book.planned = name
-                book.retiring, book.retiring_since = victim, now
-                commands += self._drop_retired(book, now)
-            else:
-                commands.append(self._send(book, True, name, "", now))
-        self._expect_loading(service, books)
+        if not pool.demand:
+            commands += self._spread_copies(pool)
+        for name, gain in find_needs(pool):
+            commands += self._plan_copy(service, pool, pool.spec.model_by_name[name], gain)
+        self._expect_loading(service, pool)
+        return commands
+
+    def _plan_copy(
+        self, service: str, pool: EnginePool, model: ModelSpec, gain: float
+    ) -> list[Command]:
+        """Return the first order towards a copy of a model, and tell when it can be there."""
+        found = choose_engine(pool, model, gain)
+        ends = pool.long_load_ends()
+        is_full = len(ends) >= max_rare_loads(pool.books) and not is_hot(pool.wanted(model.name))
+        must_wait = found is not None and is_full and not found[0].has_copy(model.name)
+        if not pool.copies(model.name):
+            # Without a place now, the next one is likely to be free soon.
+            wait = found[2] if found else model.disk_load_s + NEXT_PLACE_S
+            if must_wait and ends:
+                wait += ends[0] if ends[0] != float("inf") else 0.0
+            self._expect(service, model.name, pool.now + wait)
+        if found is None or must_wait:
+            return []
+        book, victim, _ = found
+        if not book.is_free or not self._may_load(book, model, pool.spec, pool.now):
+            return []
+        if victim:
+            book.planned = model.name
+            book.retiring, book.retiring_since = victim, pool.now
+            commands = self._drop_retired(book, pool.now)
+        else:
+            commands = [self._send(book, True, model.name, "", pool.now)]
+        pool.note_order(book)
         return commands
 
     def _expect(self, service: str, name: str, at: float) -> None:
-        for (owner, item), wanted in self._demand.items():
-            is_of_model = owner == service and item.partition("/")[0] == name
-            if is_of_model and (wanted.waiting or wanted.unmet):
-                self._expected[owner, item] = at
+        for item in self._items_by_model.get((service, name), ()):
+            wanted = self._demand[service, item]
+            if wanted.waiting or wanted.unmet:
+                self._expected[service, item] = at
 
-    def _load_planned(self, spec: EngineSpec, books: list[Book], now: float) -> list[Command]:
+    def _load_planned(self, pool: EnginePool) -> list[Command]:
         """Load what places were made free for; its load was counted then."""
         commands = []
-        for book in books:
+        spec = pool.spec
+        for book in pool.books:
             if book.retiring not in book.adapters or not book.planned:
                 book.retiring = ""
             if book.retiring:
-                commands += self._drop_retired(book, now)
+                commands += self._drop_retired(book, pool.now)
+                pool.note_order(book)
                 continue
             model = spec.model_by_name.get(book.planned)
             if not book.planned or not book.is_free:
@@ -446,8 +450,9 @@
             has_room = book.memory_mb(spec) + model.memory_mb <= spec.memory_mb if model else False
             if model is None or model.name in book.adapters or not has_room:
                 book.planned = ""
-                continue
-            commands.append(self._send(book, True, model.name, "", now))
+            else:
+                commands.append(self._send(book, True, model.name, "", pool.now))
+            pool.note_order(book)
         return commands
 
     def _drop_retired(self, book: Book, now: float) -> list[Command]:
@@ -457,20 +462,21 @@
             return []
         return [self._send(book, False, book.retiring, "", now)]
 
-    def _spread_copies(self, spec: EngineSpec, books: list[Book], now: float) -> list[Command]:
+    def _spread_copies(self, pool: EnginePool) -> list[Command]:
         """Before traffic, load what few engines have, which leaves copies on their disks.
 
         A load from a disk takes a fifth of one from the weight store, and demand that moves to
         other models does not wait.
         """
         commands = []
-        resident = {name: len(find_copies(books, name)) for name in spec.model_by_name}
+        spec, now = pool.spec, pool.now
+        resident = {name: len(pool.copies(name)) for name in spec.model_by_name}
         known = dict(resident)
-        for book in books:
+        for book in pool.books:
             for name in spec.model_by_name:
                 is_kept = name in book.on_disk and name not in book.adapters
                 known[name] += is_kept or is_loading(book, name)
-        for book in books:
+        for book in pool.books:
             # One load an engine ends before traffic comes.
             if not book.is_free or book.planned or book.loaded_at:
                 continue
@@ -498,6 +504,7 @@
                 commands.append(self._send(book, False, victim, "", now))
             else:
                 commands.append(self._send(book, True, model.name, "", now))
+            pool.note_order(book)
         return commands
 
     def _model_demand(self, service: str) -> dict[str, Demand]:
@@ -524,29 +531,26 @@
         busiest = sorted(rates.items(), key=lambda pair: -pair[1])[:MAX_KNOWN_RATES]
         return {name: round(rate, 2) for name, rate in busiest if rate >= MIN_KNOWN_RATE}
 
-    def _adapter_rate(self, book: Book, books: list[Book]) -> float:
-        """Return the requests a second for adapters that this engine would have to bring."""
-        rate = 0.0
-        for (service, item), demand in self._demand.items():
+    def _adapter_rates(self, service: str) -> dict[str, float]:
+        """Return the requests a second for adapters by their model."""
+        rates: dict[str, float] = {}
+        for (owner, item), demand in self._demand.items():
             model, _, adapter = item.partition("/")
-            if adapter and service == book.view.service and model in book.adapters:
-                rate += (demand.rate + demand.unmet) / max(1, len(find_copies(books, model)))
-        return rate
+            if adapter and owner == service:
+                rates[model] = rates.get(model, 0.0) + demand.rate + demand.unmet
+        return rates
 
-    def _expect_loading(self, service: str, books: list[Book]) -> None:
-        for book in books:
+    def _expect_loading(self, service: str, pool: EnginePool) -> None:
+        for book in pool.books:
             order = book.open_order
             if order is None or not order.order.is_load or not book.is_usable:
                 continue
             name = order.order.model
-            for owner, item in self._demand:
-                if (
-                    owner == service
-                    and item.partition("/")[0] == name
-                    and not find_copies(books, name)
-                ):
-                    known = self._expected.get((owner, item), float("inf"))
-                    self._expected[owner, item] = min(known, order.done_at)
+            if pool.copies(name):
+                continue
+            for item in self._items_by_model.get((service, name), ()):
+                known = self._expected.get((service, item), float("inf"))
+                self._expected[service, item] = min(known, order.done_at)
 
     def _may_load(self, book: Book, model: ModelSpec, spec: EngineSpec, now: float) -> bool:
         """Count a load against the weight store's rate, unless the engine has a copy."""
@@ -560,10 +564,9 @@
         loads.append(now)
         return True
 
-    def _plan_adapters(
-        self, service: str, spec: EngineSpec, books: list[Book], now: float
-    ) -> list[Command]:
+    def _plan_adapters(self, service: str, pool: EnginePool) -> list[Command]:
         commands = []
+        spec, now = pool.spec, pool.now
         wanted = [
             (demand, item)
             for (owner, item), demand in self._demand.items()
@@ -574,7 +577,7 @@
         for demand, item in sorted(wanted, key=lambda pair: -pair[0].waiting):
             name, _, adapter = item.partition("/")
             model = spec.model_by_name.get(name)
-            holders = find_copies(books, name)
+            holders = pool.copies(name)
             if model is None or not holders:
                 continue
             coming = [b.incoming[item] for b in holders if item in b.incoming]
@@ -618,7 +621,9 @@
         if has_place and book.memory_mb(spec) + model.adapter_mb <= spec.memory_mb:
             return self._send(book, True, model.name, adapter, now)
         never = float("-inf")
-        wanted_at = {i: max(book.used_at.get(i, never), book.loaded_at.get(i, never)) for i in held}
+        wanted_at = {
+            i: max(self._used_at.get(i, never), book.loaded_at.get(i, never)) for i in held
+        }
         idle = [item for item in held if now - wanted_at[item] >= rest_s]
         if not idle:
             return None
