Renew the lease without waiting for a plan

Cause: the renewal carries the demand by model, and asked the actor that plans for it.

Change: the sum of the demand leaves the rates for the renewal.

--- a/catkinhook/control/holding.py
+++ b/catkinhook/control/holding.py
@@ -143,6 +143,7 @@
         self._thread = threading.Thread(target=self._run, name="holder", daemon=True)
         self._is_due = threading.Event()
         self._rests_until = float("-inf")
+        self._rates: dict[str, float] = {}
         self._fence = 0
 
     def start(self) -> None:
@@ -160,8 +161,11 @@
         self._desk.close()
 
     def find_rates(self) -> dict[str, float]:
-        """Return the requests a second by model, for the next holder."""
-        return self._desk.ask(lambda desk: desk.provisioner.rates())
+        """Return the requests a second by model as of the last sum, for the next holder.
+
+        The renewal of the lease needs them and must not wait for the actor.
+        """
+        return self._rates
 
     def begin(self, fence: int, rates: dict[str, float]) -> None:
         """Begin to give orders under a fencing token.
@@ -232,6 +236,7 @@
             return
         desk.refreshed_at = now
         desk.sum_up(now)
+        self._rates = desk.provisioner.rates()
         self._plan(desk)
         done_at = self._clock()
         self._rests_until = done_at + (done_at - now) * (1.0 / PLAN_SHARE - 1.0)
