Keep the thread of the lease after a step that fails

Cause: the step asked an actor that may time out, and the thread had no guard. An error ended it, and the host never renewed or took the lease again.

Change: the error is logged and the next step follows.

Result: test_lease_outlives_a_step_that_fails failed before (TimeoutError) and passes.

--- a/catkinhook/control/leasekeeper.py
+++ b/catkinhook/control/leasekeeper.py
@@ -107,7 +107,11 @@
         while not self._stop.wait(POLL_S * random.uniform(0.8, 1.2)):
             if self._is_resigned:
                 continue
-            self.step()
+            try:
+                self.step()
+            except Exception as error:
+                # Without this thread the host would never renew or take the lease again.
+                self._log.record("lease", outcome=f"failed: {error!r}")
 
     def step(self) -> None:
         """Do what is due now."""
