Keep what is known of engines when a renewal was late

Cause: a renewal that took effect after the lease had lapsed began a new tenure under the same fencing token: books of all engines and reports of all hosts were dropped, no model was moved for 0.6 s, and half of the weight store's rate counted as spent.

Change: only a lease that is taken begins a tenure. The renewal is written under the condition of the row's version, so no other host can have held the lease meanwhile.

--- a/catkinhook/control/leasekeeper.py
+++ b/catkinhook/control/leasekeeper.py
@@ -182,14 +182,17 @@
             self._lease.hold(version, record, sent_at, self._clock())
             left = round(self._lease.seconds_left(self._clock()), 3)
         self._was_held = True
-        if not is_renewal or not was_held:
-            # An answer that comes late leaves little of the lease, which is counted from the send.
-            self._log.record(
-                "lease",
-                outcome="acquired",
-                fence=record.fence,
-                version=version,
-                left_s=left,
-                late_s=round(late_s, 3) if is_renewal else 0.0,
-            )
+        if is_renewal and was_held:
+            return
+        # An answer that comes late leaves little of the lease, which is counted from the send.
+        self._log.record(
+            "lease",
+            outcome="regained" if is_renewal else "acquired",
+            fence=record.fence,
+            version=version,
+            left_s=left,
+            late_s=round(late_s, 3) if is_renewal else 0.0,
+        )
+        # A late renewal under the row's condition shows that no other host gave orders meanwhile.
+        if not is_renewal:
             self._on_acquire(record.fence, record.rates)
