Expect a model from its choice until it is there

Callers got 503 for models whose load was about to begin.

Cause: the time of a missing model was told while it had no engine yet, and while an engine loaded it. In between, while its place was made free (up to 6 s of retirement, and the unload) or the order was on its way, hosts heard no time and refused what had waited for 0.3 of its patience.

Change: a planned load and one that is being sent are expected too.

Result: test_model_is_expected_until_it_is_there failed before (nothing expected) and passes.

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -23,6 +23,7 @@
 from catkinhook.control.enginepool import EnginePool
 from catkinhook.control.enginestates import EngineState, OrderReply, SequencedOrder
 from catkinhook.control.modelplans import (
+    RETIRE_S,
     choose_engine,
     choose_spare,
     find_needs,
@@ -542,15 +543,28 @@
 
     def _expect_loading(self, service: str, pool: EnginePool) -> None:
         for book in pool.books:
-            order = book.open_order
-            if order is None or not order.order.is_load or not book.is_usable:
-                continue
-            name = order.order.model
-            if pool.copies(name):
+            coming = self._find_coming(pool, book) if book.is_usable else None
+            if coming is None or pool.copies(coming[0]):
                 continue
+            name, at = coming
             for item in self._items_by_model.get((service, name), ()):
                 known = self._expected.get((service, item), float("inf"))
-                self._expected[service, item] = min(known, order.done_at)
+                self._expected[service, item] = min(known, at)
+
+    def _find_coming(self, pool: EnginePool, book: Book) -> tuple[str, float] | None:
+        """Return the model that an engine loads or is about to load, and when it is there."""
+        order, sending = book.open_order, book.sending
+        if order is not None and order.order.is_load:
+            return order.order.model, order.done_at
+        is_load = sending is not None and sending.is_load and not sending.adapter
+        model = pool.spec.model_by_name.get(sending.model if is_load else book.planned)
+        if model is None:
+            return None
+        at = pool.now + book.load_seconds(model) + LOAD_MARGIN_S
+        if book.retiring:
+            is_used = book.running_by_model.get(book.retiring, 0) > 0
+            at += UNLOAD_S + (RETIRE_S if is_used else 0.0)
+        return model.name, at
 
     def _may_load(self, book: Book, model: ModelSpec, spec: EngineSpec, now: float) -> bool:
         """Count a load against the weight store's rate, unless the engine has a copy."""
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -273,6 +273,21 @@
         world.run(6.0, {**busy, "m5": WAITING})
         self.assertTrue(world.holders("m5"))
 
+    def test_model_is_expected_until_it_is_there(self) -> None:
+        """Guards against callers that are refused while a place is made for their model.
+
+        Hosts heard no time for a model between its choice and the start of its load, and refused
+        what had waited for a while.
+        """
+        world = self.make(1)
+        world.engines["e0"].used_until = dict.fromkeys(("m0", "m1", "m2"), world.now + 3.0)
+        busy = {name: Demand(rate=0.2, running=2) for name in ("m0", "m1", "m2")}
+        while not world.holders("m5"):
+            world.run(0.1, {**busy, "m5": WAITING})
+            if not world.holders("m5"):
+                self.assertIn(("llm", "m5"), world.provisioner.expected(world.now))
+            self.assertLess(world.now, 70.0)
+
     def test_lost_answers_hold_an_adapter_up_for_half_a_second_at_most(self) -> None:
         """Guards against callers that wait in vain while an engine's answers to orders are lost.
 
