Revert "Load again before traffic while models have no copy"

Tried and dropped. Where models have no copy after the first load, half of the engines were in loads of 8 s when traffic came, and took no orders for adapters.

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -498,18 +498,15 @@
                 is_kept = name in book.on_disk and name not in book.adapters
                 known[name] += is_kept or is_loading(book, name)
         for book in pool.books:
-            if not book.is_free or book.planned:
-                continue
-            # Half of the engines stay free in case that traffic comes before a second load ends.
-            is_again = bool(book.loaded_at)
-            if is_again and len(pool.long_load_ends()) >= max_rare_loads(pool.books):
+            # One load an engine ends before traffic comes.
+            if not book.is_free or book.planned or book.loaded_at:
                 continue
             wanted = [
                 model
                 for name, model in spec.model_by_name.items()
                 if name not in book.adapters and name not in book.on_disk
                 # Models with adapters have the most callers, and their demand moves most.
-                and known[name] < (2 if model.adapters and not is_again else 1)
+                and known[name] < (2 if model.adapters else 1)
             ]
             model = min(wanted, key=lambda m: (known[m.name], m.name), default=None)
             if model is None:
