Bound the bytes and the time of endpoints' answers

Callers would see a host that stops answering: bytes that are no answer may come without end, in a head or a body, until the host closes.

Cause: http.client skips any number of heads with status 100 and bounds each read, not the whole; the body of a refusal was read to its end so that its connection could be kept; an answer that is read whole was kept in memory without a bound; a stream went on for as long as its caller stayed.

Change: a reader bounds head and refusal by bytes and time, an answer read whole has 8 MiB at most, and an answer that goes on a second after its time is broken off.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -1,5 +1,6 @@
 """One caller's request at the platform's endpoints."""
 
+import contextlib
 import http.client
 import socket
 import time
@@ -22,6 +23,11 @@
 STEP = "upstream"
 CONNECT_TIMEOUT_S = 0.5
 READ_BYTES = 64 << 10
+# Bodies of refusals have some hundred bytes. A connection on which more comes isn't kept.
+MAX_DRAINED_BYTES = 64 << 10
+DRAIN_S = 0.1
+# An endpoint stops its work at the deadline that it was given; what is ready is still passed on.
+LATE_S = 1.0
 # Kept connections are left alone for this long before the endpoint would close them.
 IDLE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 4.0
@@ -91,6 +97,7 @@
         if self._is_aborted:
             answer.abort()
         answer.until_dark = until_dark
+        answer.ends_at = time.monotonic() + time_left_s + LATE_S
         answer.send(
             self._method, self._target, headers, self._body, timeout_s, not self._is_repeatable
         )
@@ -108,6 +115,7 @@
     """An endpoint's answer; used by one thread, except for ``abort``.
 
     :ivar until_dark: whether to give up on a dark endpoint before a timeout.
+    :ivar ends_at: time at which an answer that still goes on is broken off.
     """
 
     def __init__(
@@ -126,6 +134,7 @@
         self._has_extra = False
         self._is_aborted = False
         self.until_dark = False
+        self.ends_at = float("inf")
         self.status = 0
         self.headers: Headers = ()
         self.load: tuple[int, int] | None = None
@@ -157,7 +166,7 @@
         try:
             connection.send_raw(method, target, headers, body)
             self._wait_for_head(timeout_s)
-            self._response = connection.read_head()
+            self._response = connection.read_head(timeout_s)
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
             is_silent = isinstance(error, TimeoutError)
@@ -220,8 +229,9 @@
         if self._response.fp is None:
             # http.client closes it at once when there is no body.
             return
-        self._connection.sock.settimeout(0)
-        self._buffered = self._response.fp.read1(READ_BYTES) or b""
+        self._connection.reader.allow(0, 0.0)
+        with contextlib.suppress(ConnectionAbortedError):
+            self._buffered = self._response.fp.read1(READ_BYTES) or b""
 
     def _refused(self, reason: str, fault: str = "") -> None:
         self._drain()
@@ -229,12 +239,15 @@
 
     def _drain(self) -> None:
         """Read a short answer that is of no use, so that its connection can be kept."""
+        response = self._response
+        self._connection.reader.allow(MAX_DRAINED_BYTES, DRAIN_S)
         try:
-            if self._response.read() is not None and self._response.will_close:
-                return
+            while response.read1(READ_BYTES):
+                pass
         except CONNECTION_ERRORS:
             return
-        self._keep()
+        if not response.length and not response.will_close:
+            self._keep()
 
     def read(self, timeout_s: float) -> bytes:
         """Return the next bytes, empty at the marked end.
@@ -252,6 +265,8 @@
             sock = self._connection.sock
             if sock is None:
                 raise ConnectionAbortedError("the connection was closed")
+            if time.monotonic() > self.ends_at:
+                raise ConnectionAbortedError("it went on after its time")
             size = READ_BYTES if self._left is None else min(READ_BYTES, self._left)
 
             def read(seconds: float) -> bytes:
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import io
 import json
 import socket
 import struct
@@ -16,7 +17,7 @@
 from catkinhook.errors import EngineError, Ran
 from catkinhook.requests.chunks import ChunkDecoder, ChunkError
 from catkinhook.requests.dispatch import Outcome
-from catkinhook.settings import MIB, split_address
+from catkinhook.settings import KIB, MIB, split_address
 from catkinhook.state.views import EndpointView
 
 STEP = "attempts"
@@ -27,6 +28,8 @@
 LAST_CHUNK_TIMEOUT_S = 0.02
 MAX_REPORT_BYTES = 4 * MIB
 READ_BYTES = 64 << 10
+# Heads of endpoints have some hundred bytes.
+MAX_HEAD_BYTES = 64 * KIB
 
 # A process that is being killed closes its connections before its listener, so a probe that finds
 # the listener still up is repeated.
@@ -73,6 +76,40 @@
     headers: dict[str, str]
 
 
+class BoundedReader(io.RawIOBase):
+    """Reads a socket up to a number of bytes and a time, however the bytes are spread over it."""
+
+    def __init__(self, sock: socket.socket, size: int, seconds: float) -> None:
+        super().__init__()
+        self._socket = sock
+        self.allow(size, seconds)
+
+    def allow(self, size: int, seconds: float) -> None:
+        """Set what may be read from now on."""
+        self._left = size
+        self._ends_at = time.monotonic() + seconds
+
+    def readable(self) -> bool:
+        """Tell ``BufferedReader`` that it may read."""
+        return True
+
+    def readinto(self, buffer: bytearray) -> int:
+        """Read once.
+
+        :raises ConnectionAbortedError: if more bytes would come than may.
+        :raises TimeoutError: if the time is over.
+        """
+        if self._left <= 0:
+            raise ConnectionAbortedError("more bytes came than may")
+        seconds = self._ends_at - time.monotonic()
+        if seconds <= 0:
+            raise TimeoutError("the time is over")
+        self._socket.settimeout(seconds)
+        count = self._socket.recv_into(buffer, min(len(buffer), self._left))
+        self._left -= count
+        return count
+
+
 class CountingConnection(HTTPConnection):
     """Connection that knows whether any byte of the current request left this process."""
 
@@ -93,6 +130,7 @@
         self._held: list[bytes] | None = None
         self._is_kept_open = False
         self.raw: http.client.HTTPResponse | None = None
+        self.reader: BoundedReader | None = None
         self.response_class = self._make_response
 
     def send_request(self, method: str, path: str, headers: dict[str, str], body: bytes) -> None:
@@ -132,13 +170,17 @@
         finally:
             self._held = None
 
-    def read_head(self) -> http.client.HTTPResponse:
+    def read_head(self, seconds: float) -> http.client.HTTPResponse:
         """Read the head of the answer to ``send_raw``.
 
         http.client closes a connection after the head of an answer that ends it, but the body is
         read from its socket. The caller closes response and connection, also after an error.
+
+        :param seconds: time for the whole head. http.client itself skips any number of heads with
+            status 100.
         """
         self._is_kept_open = True
+        self.reader = BoundedReader(self.sock, MAX_HEAD_BYTES, seconds)
         try:
             return http.client.HTTPConnection.getresponse(self)
         finally:
@@ -178,6 +220,9 @@
 
     def _make_response(self, *args: object, **kwargs: object) -> http.client.HTTPResponse:
         self.raw = http.client.HTTPResponse(*args, **kwargs)
+        if self.reader is not None:
+            self.raw.fp.close()
+            self.raw.fp = io.BufferedReader(self.reader)
         return self.raw
 
 
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -17,6 +17,7 @@
 from catkinhook.requests.scheduling import Scheduler, Ticket
 from catkinhook.requests.watch import CallerWatch
 from catkinhook.requests.work import Decision, Placed, Work, patience
+from catkinhook.settings import MIB
 from catkinhook.stateactor import Owned
 
 STEP = "forwarding"
@@ -31,6 +32,8 @@
 # Time that an answer needs to reach its caller before the deadline.
 ANSWER_MARGIN_S = 0.02
 MIN_TIME_S = 0.03
+# Largest answer that is read whole before it is passed on, which bounds the memory of a request.
+MAX_ANSWER_BYTES = 8 * MIB
 
 
 class UpstreamAnswer(Protocol):
@@ -386,9 +389,13 @@
         return self.work.is_repeatable and self.runs + 1 < self.work.route.max_attempts
 
     def _read_whole(self, placed: Placed, answer: UpstreamAnswer) -> Reply:
-        parts = []
+        parts, size = [], 0
         while part := answer.read(self._silence()):
             parts.append(part)
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                reason = f"endpoint sent more than {MAX_ANSWER_BYTES} bytes"
+                raise AttemptError(STEP, placed.endpoint.endpoint, reason, Ran.UNKNOWN)
         body = b"".join(parts)
         self.first_at = time.monotonic()
         is_failure = answer.status >= 500
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         outer = self
+        self._is_closed = False
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -45,6 +46,7 @@
 
     def close(self) -> None:
         """Stop serving."""
+        self._is_closed = True
         self._server.shutdown()
         self._server.server_close()
 
@@ -188,7 +190,11 @@
 
     :ivar fault: what is wrong with the next answers: ``""``, ``not-run``, ``misdirected``,
         ``crossed``, ``cut``, ``reset``, ``unsigned``, ``error``, ``extra``, ``closing`` (it says
-        that the connection ends), ``unframed`` (no length, the end of the connection ends it).
+        that the connection ends), ``unframed`` (no length, the end of the connection ends it);
+        bytes that come until the caller closes: ``endless-head``, ``endless-body``,
+        ``endless-refusal`` (the body of a request that was not run), ``endless-events``.
+    :ivar endless_sent: bytes of endless answers that were sent.
+    :ivar endless_open: endless answers that have not been closed.
     :ivar events: events of a stream.
     :ivar pause_s: silence after the second event.
     :ivar stop_after: events after which a stream that was not resumed breaks off, 0 for none.
@@ -207,6 +213,8 @@
         self.seen: list[Seen] = []
         self.orders: list[dict] = []
         self.order_status = 0
+        self.endless_sent = 0
+        self.endless_open = 0
 
     def entry(self, service: str, zone: str = "z1") -> dict:
         """Return the endpoint's entry in the store."""
@@ -272,6 +280,9 @@
         if fault == "reset":
             request.close_connection = True
             return
+        if fault.startswith("endless"):
+            self._send_without_end(request, request_id)
+            return
         echoed = "0000" if fault == "crossed" else request_id
         if request.headers.get("Model"):
             self._stream(request, echoed)
@@ -296,6 +307,33 @@
         if fault == "extra":
             request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 
+    def _send_without_end(self, request: BaseHTTPRequestHandler, request_id: str) -> None:
+        request.close_connection = True
+        part = b"x" * 16384
+        if self.fault == "endless-head":
+            part = b"HTTP/1.1 100 Continue\r\n\r\n"
+        else:
+            is_refusal = self.fault == "endless-refusal"
+            request.send_response(503 if is_refusal else 200)
+            request.send_header("Attempt-Id", request_id)
+            request.send_header("Response-Seal", f"seal-{self.endpoint}")
+            if is_refusal:
+                request.send_header("Not-Executed", "1")
+            request.end_headers()
+            if self.fault == "endless-events":
+                part = b"data: token\n\n"
+        self.endless_open += 1
+        try:
+            while not self._is_closed:
+                request.wfile.write(part)
+                self.endless_sent += len(part)
+                if len(part) < 1000:
+                    time.sleep(0.001)
+        except OSError:
+            pass
+        finally:
+            self.endless_open -= 1
+
     def _stream(self, request: BaseHTTPRequestHandler, echoed: str) -> None:
         request.send_response(200)
         request.send_header("Attempt-Id", echoed)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -15,6 +15,10 @@
 from tests.platform_standin import FakeEndpoint, FakeStore, make_configuration
 
 WAIT_S = 10.0
+# Time and bytes after which an answer without end must have been closed; a host reads answers of
+# up to 8 MiB, and sockets hold some more.
+ENDLESS_MARGIN_S = 3.0
+ENDLESS_MAX_BYTES = 32 << 20
 REQUEST_ID = "9c41d07be2a35f68"
 
 
@@ -169,6 +173,43 @@
         answer, body = self.ask("POST", "/live/x", Model="m1", Token_Usage="10,10")
         self.assertEqual((answer.status, body.count(b"id: ")), (200, 5))
 
+    def ask_in_time(self, path: str, **headers: str) -> int:
+        """Return the status of an answer that must come within the deadline and a second.
+
+        A broken off answer has status 0.
+        """
+        began = time.monotonic()
+        try:
+            status = self.ask("POST", path, b"p", Deadline_Ms="1000", **headers)[0].status
+        except (http.client.HTTPException, OSError):
+            status = 0
+        self.assertLess(time.monotonic() - began, 1.0 + ENDLESS_MARGIN_S)
+        return status
+
+    def check_endless(self, group: list[FakeEndpoint]) -> None:
+        """Check that all endless answers were closed, and little of them was read."""
+        wait_until(lambda: not any(endpoint.endless_open for endpoint in group))
+        self.assertTrue(any(endpoint.endless_sent for endpoint in group))
+        for endpoint in group:
+            self.assertLess(endpoint.endless_sent, ENDLESS_MAX_BYTES)
+
+    def test_answer_without_end_is_closed(self) -> None:
+        """Guards against a host that reads bytes that are no answer until its memory is full."""
+        for fault in ("endless-head", "endless-body", "endless-refusal"):
+            with self.subTest(fault=fault):
+                for desk in self.desks:
+                    desk.fault = fault
+                status = self.ask_in_time("/post/x")
+                self.assertIn(status, (503,) if fault == "endless-refusal" else (0, 502, 504))
+                self.check_endless(self.desks)
+
+    def test_stream_without_end_is_closed(self) -> None:
+        """Guards against a stream that goes on after its time while its caller stays."""
+        for engine in self.engines:
+            engine.fault = "endless-events"
+        self.ask_in_time("/live/x", Model="m1", Token_Usage="10,10")
+        self.check_endless(self.engines)
+
     def test_engine_that_lacks_a_model_is_asked_once(self) -> None:
         """Guards against a request that asks the same engine again and again for what it lacks.
 
