Bound the answers of engines to orders and reports

The holder's orders would stop: twelve threads send orders and ask for reports, and an engine in trouble may send bytes without end, in a head or a body.

Cause: urllib3 bounds each read and not the whole, and http.client skips any number of heads with status 100.

Change: the client of engines uses the connections of the request path, whose reader bounds head and body by bytes and time.

--- a/catkinhook/platform/engine.py
+++ b/catkinhook/platform/engine.py
@@ -1,15 +1,15 @@
 """Client of the orders and reports of the platform's engines."""
 
 import json
-import socket
 
-import urllib3
+import attrs
 from result import Err, Ok, Result
 
 from catkinhook.control.enginestates import EngineState, OrderReply, SequencedOrder
 from catkinhook.errors import EngineError, Ran
 from catkinhook.platform import names
 from catkinhook.platform.records import decode_report
+from catkinhook.requests.attempts import CONNECTION_ERRORS, AttemptLimits, Connections
 from catkinhook.state.views import EndpointView
 
 STEP = "engine"
@@ -17,8 +17,8 @@
 # sent again.
 ORDER_TIMEOUT_S = 0.25
 REPORT_TIMEOUT_S = 0.6
-USER_TIMEOUT_MS = 1000
-CONNECTIONS_PER_ENGINE = 2
+# Reports have some kilobytes.
+MAX_REPORT_BYTES = 1 << 20
 
 _REPLY_BY_STATUS = {
     200: OrderReply.HOLDS,
@@ -29,29 +29,27 @@
     421: OrderReply.GONE,
 }
 
-_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-]
+
+@attrs.frozen
+class Answer:
+    """Status and body of an engine's answer."""
+
+    status: int
+    data: bytes
 
 
 class EngineClient:
     """Orders and reports over HTTP; safe for use by many threads."""
 
     def __init__(self) -> None:
-        self._pools = urllib3.PoolManager(
-            num_pools=256,
-            maxsize=CONNECTIONS_PER_ENGINE,
-            retries=False,
-            socket_options=_OPTIONS,
-        )
+        self._connections = Connections()
 
     def start(self) -> None:
         """Do nothing; connections are opened on first use."""
 
     def close(self) -> None:
-        """Close the pooled connections."""
-        self._pools.clear()
+        """Close the idle connections."""
+        self._connections.close()
 
     def order(
         self, endpoint: EndpointView, order: SequencedOrder
@@ -94,17 +92,29 @@
         path: str,
         timeout_s: float,
         body: bytes | None = None,
-    ) -> Result[urllib3.BaseHTTPResponse, EngineError]:
+    ) -> Result[Answer, EngineError]:
         # Without the expected instance, a late order could reach an endpoint that restarted.
-        headers = {names.EXPECT_INSTANCE: endpoint.endpoint}
+        headers = [("Host", endpoint.address), (names.EXPECT_INSTANCE, endpoint.endpoint)]
         if body is not None:
-            headers["Content-Type"] = "application/json"
-        url = f"http://{endpoint.address}{path}"
-        timeout = urllib3.Timeout(connect=timeout_s, read=timeout_s)
+            headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        limits = AttemptLimits(timeout_s, timeout_s, MAX_REPORT_BYTES)
+        try:
+            connection = self._connections.take(endpoint.address, limits, False)
+        except CONNECTION_ERRORS as error:
+            return Err(self._error(endpoint, f"can't be reached for {path}: {error}"))
         try:
-            return Ok(self._pools.request(method, url, body=body, headers=headers, timeout=timeout))
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            return Err(self._error(endpoint, f"{method} {path} failed: {error}"))
+            connection.send_raw(method, path, headers, body or b"")
+            response = connection.read_head(timeout_s)
+            connection.reader.allow(MAX_REPORT_BYTES, timeout_s)
+            answer = Answer(response.status, response.read())
+        except CONNECTION_ERRORS as error:
+            connection.close()
+            return Err(self._error(endpoint, f"{method} {path} failed: {error!r}"))
+        if response.will_close:
+            connection.close()
+        else:
+            self._connections.give(endpoint.address, connection)
+        return Ok(answer)
 
     def _error(self, endpoint: EndpointView, reason: str) -> EngineError:
         return EngineError(STEP, f"{endpoint.endpoint} at {endpoint.address}", reason, Ran.UNKNOWN)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -192,7 +192,8 @@
         ``crossed``, ``cut``, ``reset``, ``unsigned``, ``error``, ``extra``, ``closing`` (it says
         that the connection ends), ``unframed`` (no length, the end of the connection ends it);
         bytes that come until the caller closes: ``endless-head``, ``endless-body``,
-        ``endless-refusal`` (the body of a request that was not run), ``endless-events``.
+        ``endless-refusal`` (the body of a request that was not run), ``endless-events``,
+        ``endless-report``, ``endless-report-head`` (of any request).
     :ivar endless_sent: bytes of endless answers that were sent.
     :ivar endless_open: endless answers that have not been closed.
     :ivar events: events of a stream.
@@ -242,7 +243,9 @@
     def handle(self, request: BaseHTTPRequestHandler) -> None:
         """Answer one request."""
         body = read_body(request)
-        if request.path == "/report":
+        if self.fault.startswith("endless-report"):
+            self._send_without_end(request, "")
+        elif request.path == "/report":
             report = {"models": self._models(), "busy": False, "sequence": self.sequence, "born": 1}
             send_json(request, 200, report)
         elif request.path == "/order":
@@ -310,7 +313,7 @@
     def _send_without_end(self, request: BaseHTTPRequestHandler, request_id: str) -> None:
         request.close_connection = True
         part = b"x" * 16384
-        if self.fault == "endless-head":
+        if self.fault.endswith("-head"):
             part = b"HTTP/1.1 100 Continue\r\n\r\n"
         else:
             is_refusal = self.fault == "endless-refusal"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,14 +2,17 @@
 
 import json
 import re
+import time
 import unittest
 from pathlib import Path
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from catkinhook.control.enginestates import OrderReply, SequencedOrder
 from catkinhook.errors import Effect, StoreConflict
 from catkinhook.platform.boot import parse_boot_text
+from catkinhook.platform.engine import REPORT_TIMEOUT_S, EngineClient
 from catkinhook.platform.names import OWN_TABLE
 from catkinhook.platform.records import decode_configuration, decode_endpoint, decode_report
 from catkinhook.platform.store import StoreClient, TableFeed, TableRow
@@ -126,6 +129,35 @@
         self.assertTrue(decoded.is_ok() or decoded.unwrap_err())
 
 
+class EngineTest(unittest.TestCase):
+    """Client of one engine."""
+
+    def setUp(self) -> None:
+        self.engine = FakeEndpoint("i-e1", ("m1",))
+        self.engine.start()
+        self.addCleanup(self.engine.close)
+        self.view = decode_endpoint("i-e1", json.dumps(self.engine.entry("llm")).encode()).unwrap()
+        self.client = EngineClient()
+        self.addCleanup(self.client.close)
+
+    def test_orders_and_reports_share_a_connection(self) -> None:
+        """Guards against orders that fail on a kept connection."""
+        order = SequencedOrder(is_load=True, model="m2", expected=0, holder="h", fence=1)
+        self.assertEqual(self.client.order(self.view, order).unwrap(), OrderReply.ACCEPTED)
+        self.assertEqual(self.client.order(self.view, order).unwrap(), OrderReply.REFUSED)
+        state = self.client.state(self.view).unwrap()
+        self.assertEqual((state.models, state.sequence), ({"m1", "m2"}, 1))
+
+    def test_report_without_end_is_closed(self) -> None:
+        """Guards against a holder whose threads wait for engines that send bytes without end."""
+        for fault in ("endless-report", "endless-report-head"):
+            with self.subTest(fault=fault):
+                self.engine.fault = fault
+                began = time.monotonic()
+                self.assertTrue(self.client.state(self.view).is_err())
+                self.assertLess(time.monotonic() - began, 3 * REPORT_TIMEOUT_S + 1.0)
+
+
 class StoreTest(unittest.TestCase):
     """The store's client."""
 
