Take the ports of the tested host from outside those of connections

The port came from the range that the kernel gives to outgoing connections, of which the tests beside it open thousands. Ports below that range are not given away so. No check changes.

--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,6 +1,8 @@
 """A whole host against stand-ins for the platform: answers, refusals, repeats, configuration."""
 
+import contextlib
 import http.client
+import random
 import socket
 import threading
 import time
@@ -15,6 +17,7 @@
 from tests.platform_standin import FakeEndpoint, FakeStore, make_configuration
 
 WAIT_S = 10.0
+HOST_PORTS = (15_000, 32_000)
 # Time and bytes after which an answer without end must have been closed; a host reads answers of
 # up to 8 MiB, and sockets hold some more.
 ENDLESS_MARGIN_S = 3.0
@@ -32,9 +35,14 @@
 
 
 def find_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
+    """Return a port that was free a moment ago, and that no outgoing connection is given.
+
+    The kernel gives ports from 32768 on to connections of the tests that run beside this one.
+    """
+    while True:
+        port = random.randrange(*HOST_PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 class HostTest(unittest.TestCase):
