Tell the processor time of a host by thread in log and metrics

A line each 10 s and catkinhook_thread_seconds_total give it; the line costs one clock reading a thread.

--- /dev/null
+++ b/catkinhook/operations/processortime.py
@@ -0,0 +1,86 @@
+"""Processor time of this process by thread, for metrics and a line of the log now and then."""
+
+import threading
+import time
+from collections.abc import Iterable
+
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+from catkinhook.operations.decisionlog import DecisionLog
+
+# Seconds between lines of the log.
+REPORT_INTERVAL_S = 10.0
+# Name for threads that have ended, such as those of requests in a burst.
+ENDED = "ended"
+
+
+def thread_group(name: str) -> str:
+    """Return a thread's name without its number."""
+    return name.rstrip("0123456789-_")
+
+
+def read_thread_seconds() -> dict[str, float]:
+    """Return the seconds of processor time by group of threads since the start."""
+    seconds_by_group: dict[str, float] = {}
+    total = time.process_time()
+    for thread in threading.enumerate():
+        try:
+            spent = time.clock_gettime(time.pthread_getcpuclockid(thread.ident))
+        except (OSError, TypeError):
+            # It ended between the two calls, or has not begun.
+            continue
+        group = thread_group(thread.name)
+        seconds_by_group[group] = seconds_by_group.get(group, 0.0) + spent
+    seconds_by_group[ENDED] = max(0.0, total - sum(seconds_by_group.values()))
+    return seconds_by_group
+
+
+class ThreadSeconds(Collector):
+    """Collector of processor time by group of threads."""
+
+    def collect(self) -> Iterable[CounterMetricFamily]:
+        """Return the metric as of now."""
+        family = CounterMetricFamily(
+            "catkinhook_thread_seconds", "Processor time by group of threads.", labels=("thread",)
+        )
+        for group, seconds in sorted(read_thread_seconds().items()):
+            family.add_metric((group,), seconds)
+        return (family,)
+
+
+class ProcessorTime:
+    """Service that logs the processor time of each interval.
+
+    :param interval_s: seconds between lines.
+    """
+
+    def __init__(self, log: DecisionLog, interval_s: float = REPORT_INTERVAL_S) -> None:
+        self._log = log
+        self._interval_s = interval_s
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="processor-time", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        before: dict[str, float] = {}
+        while not self._stop.wait(self._interval_s):
+            after = read_thread_seconds()
+            # The time of a thread that ended moves to another group, so that its own may shrink.
+            spent = {g: round(s - before.get(g, 0.0), 3) for g, s in after.items()}
+            self._log.record(
+                "process",
+                outcome="processor time",
+                seconds=round(sum(after.values()) - sum(before.values()), 3),
+                interval_s=self._interval_s,
+                by_thread={group: seconds for group, seconds in spent.items() if seconds > 0},
+            )
+            before = after
--- /dev/null
+++ b/tests/test_processortime.py
@@ -0,0 +1,76 @@
+"""Processor time by thread, from which a host that takes too much of it is explained."""
+
+import io
+import json
+import threading
+import time
+import unittest
+from contextlib import redirect_stdout
+
+from catkinhook.operations.decisionlog import DecisionLog
+from catkinhook.operations.hostmetrics import HostMetrics
+from catkinhook.operations.processortime import (
+    ENDED,
+    ProcessorTime,
+    read_thread_seconds,
+    thread_group,
+)
+
+BURN_S = 0.05
+WAIT_S = 10.0
+
+
+def burn(until: threading.Event) -> None:
+    """Use the processor, then wait."""
+    end = time.thread_time() + BURN_S
+    while time.thread_time() < end:
+        pass
+    until.wait(WAIT_S)
+
+
+class ProcessorTimeTest(unittest.TestCase):
+    """Guards against processor time that no thread accounts for."""
+
+    def setUp(self) -> None:
+        self.done = threading.Event()
+        self.thread = threading.Thread(target=burn, args=(self.done,), name="burner-7")
+        self.thread.start()
+        self.addCleanup(self.thread.join)
+        self.addCleanup(self.done.set)
+
+    def test_threads_are_grouped_without_their_numbers(self) -> None:
+        self.assertEqual(thread_group("waitress-12"), "waitress")
+        self.assertEqual(thread_group("orders_3"), "orders")
+        self.assertEqual(thread_group("MainThread"), "MainThread")
+
+    def test_time_of_a_thread_is_found_while_it_lives_and_after(self) -> None:
+        deadline = time.monotonic() + WAIT_S
+        while read_thread_seconds().get("burner", 0.0) < BURN_S:
+            self.assertLess(time.monotonic(), deadline, "the thread's time never showed")
+            time.sleep(0.005)
+        self.done.set()
+        self.thread.join()
+        after = read_thread_seconds()
+        self.assertNotIn("burner", after)
+        self.assertGreaterEqual(after[ENDED], BURN_S)
+
+    def test_metrics_and_log_tell_the_time_by_thread(self) -> None:
+        text = HostMetrics().render().decode()
+        self.assertIn('catkinhook_thread_seconds_total{thread="MainThread"}', text)
+        out = io.StringIO()
+        with redirect_stdout(out):
+            log = DecisionLog("host-1")
+            usage = ProcessorTime(log, interval_s=0.02)
+            log.start()
+            usage.start()
+            time.sleep(0.2)
+            usage.close()
+            log.close()
+        lines = [json.loads(line) for line in out.getvalue().splitlines()]
+        self.assertTrue(lines)
+        self.assertEqual(lines[0]["outcome"], "processor time")
+        self.assertIn("MainThread", lines[0]["by_thread"])
+
+
+if __name__ == "__main__":
+    unittest.main()
