--- a/catkinhook/operations/processortime.py
+++ b/catkinhook/operations/processortime.py
@@ -1,8 +1,10 @@
 """Processor time of this process by thread, for metrics and a line of the log now and then."""
 
+import os
+import resource
 import threading
-import time
 from collections.abc import Iterable
+from pathlib import Path
 
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
@@ -14,6 +16,11 @@
 # Name for threads that have ended, such as those of requests in a burst.
 ENDED = "ended"
 
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_TASKS = Path("/proc/self/task")
+# Positions of the ticks in user and in system mode after the name in a ``stat`` file; see proc(5).
+_USER_TICKS, _SYSTEM_TICKS = 11, 12
+
 
 def thread_group(name: str) -> str:
     """Return a thread's name without its number."""
@@ -21,17 +28,24 @@
 
 
 def read_thread_seconds() -> dict[str, float]:
-    """Return the seconds of processor time by group of threads since the start."""
+    """Return the seconds of processor time by group of threads since the start.
+
+    The kernel's accounts are read, since a simulated clock may stand behind the clocks of threads.
+    """
     seconds_by_group: dict[str, float] = {}
-    total = time.process_time()
     for thread in threading.enumerate():
         try:
-            spent = time.clock_gettime(time.pthread_getcpuclockid(thread.ident))
-        except (OSError, TypeError):
+            fields = (
+                (_TASKS / str(thread.native_id) / "stat").read_text().rpartition(")")[2].split()
+            )
+        except OSError:
             # It ended between the two calls, or has not begun.
             continue
+        ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
         group = thread_group(thread.name)
-        seconds_by_group[group] = seconds_by_group.get(group, 0.0) + spent
+        seconds_by_group[group] = seconds_by_group.get(group, 0.0) + ticks / _TICKS_PER_S
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    total = usage.ru_utime + usage.ru_stime
     seconds_by_group[ENDED] = max(0.0, total - sum(seconds_by_group.values()))
     return seconds_by_group
 
