Tell the scheduler of the first event of an answer only once

The message is now sent once for each attempt. A resumed attempt tells of its first event too, which it did not before.

test_events_of_a_stream_are_told_to_the_scheduler_in_groups failed before with 73 messages for a stream of 64 events; 14 are allowed. The set-up of test_host moves to tests/hostcase.py, unchanged, so that both modules use it.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -430,6 +430,7 @@
     def _read_events(self, placed: Placed, answer: UpstreamAnswer) -> Iterator[bytes]:
         """Yield whole events of one attempt as they come."""
         splitter = EventSplitter()
+        is_begun = False
         unobserved = 0
         try:
             while data := answer.read(self._silence()):
@@ -439,9 +440,9 @@
                 if self.first_at is None:
                     self.first_at = time.monotonic()
                 chunk, error = self._accept(events)
-                if answer.load is not None or not self.runs:
+                if not is_begun:
+                    is_begun = True
                     self._forwarder.note_first(placed, answer.load)
-                    answer.load = None
                 unobserved += len(events)
                 if unobserved >= OBSERVED_EVENTS:
                     self._forwarder.note_events(placed, unobserved)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,104 +1,24 @@
 """A whole host against stand-ins for the platform: answers, refusals, repeats, configuration."""
 
-import contextlib
 import http.client
-import random
 import socket
 import threading
 import time
 import unittest
-from collections.abc import Callable
 
-from catkinhook.host import Host
-from catkinhook.hostsettings import Bounds, HostSettings
-from catkinhook.platform.assembly import make_platform
 from catkinhook.requests.liveness import DARK_S
 from catkinhook.requests.scheduling import ABSENT_S
-from tests.platform_standin import FakeEndpoint, FakeStore, make_configuration
+from tests.hostcase import REQUEST_ID, WAIT_S, HostCase, wait_until
+from tests.platform_standin import FakeEndpoint, make_configuration
 
-WAIT_S = 10.0
-HOST_PORTS = (15_000, 32_000)
 # Time and bytes after which an answer without end must have been closed; a host reads answers of
 # up to 8 MiB, and sockets hold some more.
 ENDLESS_MARGIN_S = 3.0
 ENDLESS_MAX_BYTES = 32 << 20
-REQUEST_ID = "9c41d07be2a35f68"
 
 
-def wait_until(is_true: Callable[[], bool]) -> None:
-    """Wait for a condition; fails after a time that only catches a hang."""
-    deadline = time.monotonic() + WAIT_S
-    while not is_true():
-        if time.monotonic() > deadline:
-            raise AssertionError("the condition did not come true in time")
-        time.sleep(0.01)
-
-
-def find_port() -> int:
-    """Return a port that was free a moment ago, and that no outgoing connection is given.
-
-    The kernel gives ports from 32768 on to connections of the tests that run beside this one.
-    """
-    while True:
-        port = random.randrange(*HOST_PORTS)
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
-
-
-class HostTest(unittest.TestCase):
-    """One host with two engines and two plain endpoints."""
-
-    def setUp(self) -> None:
-        self.store = FakeStore()
-        self.engines = [FakeEndpoint("i-e1", ("m1",)), FakeEndpoint("i-e2", ("m1", "m2"))]
-        self.desks = [FakeEndpoint("i-d1"), FakeEndpoint("i-d2")]
-        for standin in (self.store, *self.engines, *self.desks):
-            standin.start()
-            self.addCleanup(standin.close)
-        self.store.put("op", "config", make_configuration())
-        for engine in self.engines:
-            self.store.put("servers", engine.endpoint, engine.entry("llm"))
-        for desk in self.desks:
-            self.store.put("servers", desk.endpoint, desk.entry("desk"))
-        self.settings = HostSettings(
-            node="front-1",
-            zone="z1",
-            region="r1",
-            front_address=f"127.0.0.1:{find_port()}",
-            ready_address=f"127.0.0.1:{find_port()}",
-            peer_address=f"127.0.0.1:{find_port()}",
-            seeds=(),
-            store_address=self.store.address,
-            bounds=Bounds(lease_s=1.0, grace_s=4.0),
-        )
-        self.host = Host(self.settings, make_platform(self.settings))
-        self.host.kernel.start()
-        self.addCleanup(self.host.kernel.close)
-        self.addCleanup(self.check_no_fault)
-        wait_until(lambda: not self.host.state.explain_unready())
-        wait_until(lambda: self.host.lease.is_held())
-
-    def check_no_fault(self) -> None:
-        """Guard against errors in the host's own code, which callers see as a 500."""
-        labels = {"kind": "fault", "outcome": "unhandled"}
-        count = self.host.metrics.registry.get_sample_value("catkinhook_decisions_total", labels)
-        self.assertFalse(count)
-
-    def ask(
-        self, method: str, path: str, body: bytes = b"", **headers: str
-    ) -> tuple[http.client.HTTPResponse, bytes]:
-        """Send one request and read its whole answer."""
-        connection = http.client.HTTPConnection(self.settings.front_address, timeout=WAIT_S)
-        self.addCleanup(connection.close)
-        sent = {"Host": "h.example", "Attempt-Id": REQUEST_ID, "Deadline-Ms": "3000"}
-        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
-        connection.request(method, path, body or None, sent)
-        answer = connection.getresponse()
-        return answer, answer.read()
-
-    def seen(self, group: list[FakeEndpoint]) -> list:
-        """Return the requests that reached a group of endpoints."""
-        return [seen for endpoint in group for seen in endpoint.seen]
+class HostTest(HostCase):
+    """Answers, refusals, repeats and configuration of one host."""
 
     def test_answer_is_passed_on_whole(self) -> None:
         """Guards against answers that lose their status, signature or bytes."""
