Start a host without the modules that it does not use

deploy/system.toml now runs catkinhook.platform, a thin daemon without the command line, and the modules of a host no longer import YAML, documents, membership and changes for a constant or a type: split_address, KIB, MIB, Fault, split_model, Outcome and the parts of thrift conversions that all share have modules of their own. catkinhook host runs the same function.

test_host_starts_without_modules_that_it_does_not_use failed before: the command loaded all eight modules that it names.

--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -21,7 +21,7 @@
 from catkinhook.hostsettings import Bounds
 from catkinhook.peering.holderlink import overlay
 from catkinhook.peering.hostmessages import make_holding
-from catkinhook.requests.inflight import Outcome
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routes import EngineSpec, ModelSpec, Repeat, Route, RouteTable, ServiceSpec
 from catkinhook.requests.scheduling import Scheduler
 from catkinhook.requests.work import Decision, Placed, Work
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -9,8 +9,10 @@
 from benchmarks.engine import Engine, Job
 from benchmarks.fixtures import Deployment, Requests
 from catkinhook.control.placement import Move, MoveKind
-from catkinhook.requests.dispatch import Outcome, Request
-from catkinhook.state.documents import build_catalog, split_model
+from catkinhook.requests.dispatch import Request
+from catkinhook.requests.outcomes import Outcome
+from catkinhook.state.documents import build_catalog
+from catkinhook.state.modelnames import split_model
 from catkinhook.state.views import EndpointView, LoadReport
 
 REPORT_INTERVAL_S = 0.5
--- a/catkinhook/cli.py
+++ b/catkinhook/cli.py
@@ -83,21 +83,9 @@
 
     :param settings: settings file of the platform; by default the one that the platform names.
     """
-    from catkinhook.host import run_host
-    from catkinhook.platform.assembly import make_platform
-    from catkinhook.platform.boot import find_settings_file, read_boot_file
+    from catkinhook.platform.daemon import run
 
-    path = settings or find_settings_file()
-    if path is None:
-        print("no settings file is named", file=sys.stderr)
-        return EXIT_INVALID
-    result = read_boot_file(path)
-    if result.is_err():
-        commands.print_faults(result.unwrap_err())
-        return EXIT_INVALID
-    checked = result.unwrap()
-    configure_logs("WARNING", checked.node, "host")
-    return run_host(checked, make_platform(checked), lambda: read_boot_file(path))
+    return run(settings)
 
 
 @app.command
--- a/catkinhook/control/rounds.py
+++ b/catkinhook/control/rounds.py
@@ -5,7 +5,8 @@
 
 from catkinhook.control.congestion import Congestion, ItemLoad, mean_speed, work_capacities
 from catkinhook.control.moves import Move, MoveKind, Replica
-from catkinhook.state.documents import CallerClass, Document, Model, split_model
+from catkinhook.state.documents import CallerClass, Document, Model
+from catkinhook.state.modelnames import split_model
 
 # Hosts that a model has where memory allows, in different availability zones.
 SPARE_COPIES = 2
--- a/catkinhook/durable/claimanswers.py
+++ b/catkinhook/durable/claimanswers.py
@@ -6,8 +6,8 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import StoreError
-from catkinhook.settings import KIB
 from catkinhook.state.objects import Objects
+from catkinhook.units import KIB
 
 MAX_INLINE_BYTES = 32 * KIB
 
--- a/catkinhook/emulators/httpserver.py
+++ b/catkinhook/emulators/httpserver.py
@@ -14,8 +14,8 @@
 
 import attrs
 
+from catkinhook.addresses import split_address
 from catkinhook.emulators.faults import Faults
-from catkinhook.settings import split_address
 
 MAX_HEAD_BYTES = 64 * 1024
 PAUSE_POLL_S = 0.01
--- a/catkinhook/emulators/platform.py
+++ b/catkinhook/emulators/platform.py
@@ -12,15 +12,16 @@
 import waitress.server
 from result import Err, Ok, Result
 
+from catkinhook.addresses import split_address
 from catkinhook.emulators.faults import Faults
 from catkinhook.emulators.memory import MemoryHostList, MemoryObjects, MemoryTable
 from catkinhook.emulators.processes import run_until_terminated
 from catkinhook.emulators.weights import WeightLimits, WeightStores
 from catkinhook.errors import StepError, StoreConflict
 from catkinhook.listening import close_sockets
-from catkinhook.settings import MIB, split_address
 from catkinhook.state.hosts import Host
 from catkinhook.state.tables import SCAN_LIMIT, Check, Row, Write
+from catkinhook.units import MIB
 
 JSON_TYPE = "application/json"
 BYTES_TYPE = "application/octet-stream"
--- /dev/null
+++ b/catkinhook/faults.py
@@ -0,0 +1,20 @@
+"""Faults of files that people write."""
+
+import attrs
+
+
+@attrs.frozen
+class Fault:
+    """One thing that is wrong in a file.
+
+    :ivar line: 1-based line, 0 when it concerns the whole text.
+    :ivar key: path of the key, such as ``models[0].memory``.
+    """
+
+    file: str
+    line: int
+    key: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.key or '(document)'}: {self.reason}"
--- a/catkinhook/gateway.py
+++ b/catkinhook/gateway.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from catkinhook.addresses import split_address
 from catkinhook.durable.claimanswers import AnswerStore
 from catkinhook.durable.claims import Claims
 from catkinhook.durable.claimwriter import ClaimWriter
@@ -29,12 +30,13 @@
 from catkinhook.requests.reporting import Reporter
 from catkinhook.requests.watch import CallerWatch
 from catkinhook.requests.web import Application, Slots, State
-from catkinhook.settings import KIB, MIB, GatewaySettings, Settings, read_secret, split_address
+from catkinhook.settings import GatewaySettings, Settings, read_secret
 from catkinhook.state.objects import HttpObjects
 from catkinhook.state.reports import GatewayReport
 from catkinhook.state.snapshots import SnapshotClient
 from catkinhook.state.tables import HttpTable
 from catkinhook.state.views import Snapshot
+from catkinhook.units import KIB, MIB
 
 _log = logging.getLogger(__name__)
 
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from catkinhook import __version__
+from catkinhook.addresses import split_address
 from catkinhook.control.enginestates import OrderedEngines
 from catkinhook.control.holding import Holder
 from catkinhook.control.leasekeeper import LeaseKeeper
@@ -38,12 +39,12 @@
 from catkinhook.requests.routes import RouteTable
 from catkinhook.requests.scheduling import Scheduler
 from catkinhook.requests.watch import CallerWatch
-from catkinhook.settings import KIB, MIB, split_address
 from catkinhook.state.feeds import ConditionalRow, Feed
 from catkinhook.state.views import EndpointView
 from catkinhook.state.watches import ConfigurationWatch, EndpointWatch
 from catkinhook.stateactor import Owned
 from catkinhook.thrift_hosts import Host as HostInterface
+from catkinhook.units import KIB, MIB
 
 # Requests in progress of one host, each of which holds a thread.
 MAX_REQUESTS = 224
--- a/catkinhook/listening.py
+++ b/catkinhook/listening.py
@@ -9,7 +9,7 @@
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
-from catkinhook.settings import KIB
+from catkinhook.units import KIB
 
 # Key of the WSGI environment under which the server tells whether the caller is behind.
 IS_BEHIND = "catkinhook.is_behind"
--- a/catkinhook/operations/admin.py
+++ b/catkinhook/operations/admin.py
@@ -15,6 +15,7 @@
 import waitress
 from result import Result
 
+from catkinhook.addresses import split_address
 from catkinhook.errors import (
     PROBLEM_CONTENT_TYPE,
     Effect,
@@ -24,11 +25,11 @@
     StoreError,
     render_problem,
 )
+from catkinhook.faults import Fault
 from catkinhook.operations.burn import build_report
 from catkinhook.operations.burnpage import render_json
 from catkinhook.operations.metrics import CONTENT_TYPE
 from catkinhook.operations.overview import Overview
-from catkinhook.settings import split_address
 from catkinhook.state.changes import Change, Configuration
 from catkinhook.state.configuration import (
     HISTORY_LIMIT,
@@ -37,7 +38,6 @@
     DocumentFaults,
 )
 from catkinhook.state.documents import MAX_DOCUMENT_BYTES, Document, parse_document
-from catkinhook.yamlfile import Fault
 
 STEP = "admin"
 MAX_SETTLE_BODY = 16 * 1024
--- a/catkinhook/operations/adminclient.py
+++ b/catkinhook/operations/adminclient.py
@@ -9,8 +9,8 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import StepError
+from catkinhook.faults import Fault
 from catkinhook.state.configuration import HISTORY_LIMIT
-from catkinhook.yamlfile import Fault
 
 STEP = "adminclient"
 # Collecting the status of all instances waits for those that don't answer.
--- a/catkinhook/operations/burn.py
+++ b/catkinhook/operations/burn.py
@@ -2,10 +2,13 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 import attrs
 
-from catkinhook.state.documents import Catalog
+if TYPE_CHECKING:
+    from catkinhook.state.documents import Catalog
+
 
 MINUTE_S = 60.0
 # One-minute buckets for the last hour, ten-minute buckets up to a day.
@@ -177,7 +180,7 @@
     )
 
 
-def build_report(catalog: Catalog, buckets: list[Bucket], missing: list[str]) -> BurnReport:
+def build_report(catalog: "Catalog", buckets: list[Bucket], missing: list[str]) -> BurnReport:
     """Sum the counters of all gateways into a report.
 
     :param catalog: documents in force, for the objectives.
--- a/catkinhook/operations/commands.py
+++ b/catkinhook/operations/commands.py
@@ -14,6 +14,7 @@
 from cyclopts import Parameter
 from result import Result
 
+from catkinhook.faults import Fault
 from catkinhook.operations.adminclient import AdminClient, AdminError, DocumentInfo
 from catkinhook.operations.render import (
     render_claims,
@@ -21,7 +22,6 @@
     render_status,
 )
 from catkinhook.state.documents import Document, parse_document
-from catkinhook.yamlfile import Fault
 
 # States of a spread that is still going on are polled this often.
 SPREAD_POLL_S = 0.5
--- a/catkinhook/operations/overview.py
+++ b/catkinhook/operations/overview.py
@@ -7,7 +7,7 @@
 
 from catkinhook.errors import StepError
 from catkinhook.operations.burn import Bucket
-from catkinhook.peering import wire
+from catkinhook.peering import structs, wire
 from catkinhook.peering.membership import Member
 from catkinhook.peering.peers import PeerPool
 from catkinhook.thrift_gen import ttypes
@@ -116,7 +116,7 @@
         if status is None:
             return None
         try:
-            wire.require_fields(status, member.node)
+            structs.require_fields(status, member.node)
         except StepError:
             return None
         return status
@@ -135,6 +135,6 @@
 def _read_orders(status: ttypes.InstanceStatus) -> list[OpenOrder]:
     node = status.member.node
     return [
-        OpenOrder(node, o.endpoint, o.order_id, o.kind, o.item, o.age_ms / wire.MS_PER_S)
+        OpenOrder(node, o.endpoint, o.order_id, o.kind, o.item, o.age_ms / structs.MS_PER_S)
         for o in status.orders
     ]
--- a/catkinhook/peering/hostmessages.py
+++ b/catkinhook/peering/hostmessages.py
@@ -5,7 +5,7 @@
 import attrs
 
 from catkinhook.control.enginebooks import Book, Demand
-from catkinhook.peering.wire import decode_suspects, encode_suspects, require_fields
+from catkinhook.peering.structs import decode_suspects, encode_suspects, require_fields
 from catkinhook.requests.suspects import SuspectEvent
 from catkinhook.state.reports import Suspect, read_shared
 from catkinhook.thrift_hosts import ttypes
--- a/catkinhook/peering/membership.py
+++ b/catkinhook/peering/membership.py
@@ -8,7 +8,7 @@
 import attrs
 import xxhash
 
-from catkinhook.settings import split_address
+from catkinhook.addresses import split_address
 
 MAX_MEMBERS = 2048
 MAX_NAME = 255
--- a/catkinhook/peering/peers.py
+++ b/catkinhook/peering/peers.py
@@ -22,11 +22,13 @@
     TTransportException,
 )
 
+from catkinhook.addresses import split_address
 from catkinhook.clocks import Clock, monotonic
 from catkinhook.errors import StepError
-from catkinhook.settings import MIB, MIN_SECRET_BYTES, split_address
+from catkinhook.peersecret import MIN_SECRET_BYTES
 from catkinhook.thrift_gen import Controller
 from catkinhook.thrift_gen.ttypes import Refused
+from catkinhook.units import MIB
 
 MAGIC = b"CKH1"
 NONCE_BYTES = 32
--- /dev/null
+++ b/catkinhook/peering/structs.py
@@ -0,0 +1,87 @@
+"""What all conversions of thrift structs share.
+
+A host converts few structs, and does without the modules of documents and membership that the
+conversions in ``wire`` need.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+from catkinhook.errors import StepError
+from catkinhook.requests.suspects import EventKind
+from catkinhook.state.reports import Suspect
+from catkinhook.thrift_gen import ttypes
+
+MS_PER_S = 1000
+
+_EVENT_KINDS = frozenset(kind.value for kind in EventKind)
+_MAX_I32 = 2**31 - 1
+
+
+def require_fields(struct: Any, peer: str) -> None:
+    """Check that a struct from a peer carries all of its fields, at every level.
+
+    :raises StepError: if a field is absent, which thrift decodes as None.
+    """
+    for field in struct.thrift_spec:
+        if field is None:
+            continue
+        value = getattr(struct, field[2])
+        if value is None:
+            reason = f"field {field[2]!r} of {type(struct).__name__} is absent"
+            raise StepError("wire", peer, reason)
+        nested = value if isinstance(value, list) else [value]
+        for item in nested:
+            if hasattr(item, "thrift_spec"):
+                require_fields(item, peer)
+
+
+def make_refused(error: StepError) -> ttypes.Refused:
+    """Return the exception that tells a peer about an error."""
+    return ttypes.Refused(error.step, error.peer, error.reason)
+
+
+def age_ms(at: float, now: float) -> int:
+    """Return the age on the wire of a time on the local clock."""
+    return min(_MAX_I32, max(0, round((now - at) * MS_PER_S)))
+
+
+def time_of(age: int, now: float) -> float:
+    """Return the time on the local clock of an age on the wire."""
+    # A negative age would keep news fresh for up to 24 days.
+    return now - max(0, age) / MS_PER_S
+
+
+def encode_suspects(events: Iterable[Suspect], now: float) -> list[ttypes.Suspect]:
+    """Return the structs of suspect events."""
+    return [
+        ttypes.Suspect(
+            fingerprint=event.fingerprint,
+            model=event.model,
+            kind=event.kind.value,
+            endpoint=event.endpoint,
+            boot_id=event.boot_id,
+            age_ms=age_ms(event.seen_at, now),
+            origin=event.origin,
+            sequence=event.sequence,
+        )
+        for event in events
+    ]
+
+
+def decode_suspects(structs: Iterable[ttypes.Suspect], now: float) -> list[Suspect]:
+    """Return the suspect events of structs; kinds of a newer version are left out."""
+    return [
+        Suspect(
+            fingerprint=struct.fingerprint,
+            model=struct.model,
+            kind=EventKind(struct.kind),
+            endpoint=struct.endpoint,
+            boot_id=struct.boot_id,
+            origin=struct.origin,
+            sequence=struct.sequence,
+            seen_at=time_of(struct.age_ms, now),
+        )
+        for struct in structs
+        if struct.kind in _EVENT_KINDS
+    ]
--- a/catkinhook/peering/wire.py
+++ b/catkinhook/peering/wire.py
@@ -5,53 +5,23 @@
 
 import struct as packing
 from collections.abc import Iterable
-from typing import Any
 
 from catkinhook.errors import StepError
 from catkinhook.operations.burn import Bucket
 from catkinhook.peering import membership
-from catkinhook.requests.suspects import EventKind
+from catkinhook.peering.structs import (
+    age_ms,
+    decode_suspects,
+    encode_suspects,
+    require_fields,
+    time_of,
+)
 from catkinhook.state import changes, reports, views
 from catkinhook.thrift_gen import ttypes
 
-_EVENT_KINDS = frozenset(kind.value for kind in EventKind)
-MS_PER_S = 1000
-_MAX_I32 = 2**31 - 1
 _BEAT = packing.Struct("!qi")
 
 
-def require_fields(struct: Any, peer: str) -> None:
-    """Check that a struct from a peer carries all of its fields, at every level.
-
-    :raises StepError: if a field is absent, which thrift decodes as None.
-    """
-    for field in struct.thrift_spec:
-        if field is None:
-            continue
-        value = getattr(struct, field[2])
-        if value is None:
-            reason = f"field {field[2]!r} of {type(struct).__name__} is absent"
-            raise StepError("wire", peer, reason)
-        nested = value if isinstance(value, list) else [value]
-        for item in nested:
-            if hasattr(item, "thrift_spec"):
-                require_fields(item, peer)
-
-
-def make_refused(error: StepError) -> ttypes.Refused:
-    """Return the exception that tells a peer about an error."""
-    return ttypes.Refused(error.step, error.peer, error.reason)
-
-
-def _age_ms(at: float, now: float) -> int:
-    return min(_MAX_I32, max(0, round((now - at) * MS_PER_S)))
-
-
-def _time_of(age_ms: int, now: float) -> float:
-    # A negative age would keep news fresh for up to 24 days.
-    return now - max(0, age_ms) / MS_PER_S
-
-
 def encode_change(change: changes.Change) -> ttypes.Change:
     """Return the struct of a change."""
     return ttypes.Change(
@@ -90,7 +60,7 @@
     report = view.report and ttypes.LoadReport(
         view.report.running,
         view.report.waiting,
-        _age_ms(view.report.taken_at, now),
+        age_ms(view.report.taken_at, now),
         view.report.tokens_per_second,
     )
     return ttypes.EndpointView(
@@ -128,45 +98,10 @@
 
 
 def _decode_load(struct: ttypes.LoadReport, now: float) -> views.LoadReport:
-    taken_at = _time_of(struct.age_ms, now)
+    taken_at = time_of(struct.age_ms, now)
     return views.LoadReport(struct.running, struct.waiting, struct.tokens_per_second, taken_at)
 
 
-def encode_suspects(events: Iterable[reports.Suspect], now: float) -> list[ttypes.Suspect]:
-    """Return the structs of suspect events."""
-    return [
-        ttypes.Suspect(
-            fingerprint=event.fingerprint,
-            model=event.model,
-            kind=event.kind.value,
-            endpoint=event.endpoint,
-            boot_id=event.boot_id,
-            age_ms=_age_ms(event.seen_at, now),
-            origin=event.origin,
-            sequence=event.sequence,
-        )
-        for event in events
-    ]
-
-
-def decode_suspects(structs: Iterable[ttypes.Suspect], now: float) -> list[reports.Suspect]:
-    """Return the suspect events of structs; kinds of a newer version are left out."""
-    return [
-        reports.Suspect(
-            fingerprint=struct.fingerprint,
-            model=struct.model,
-            kind=EventKind(struct.kind),
-            endpoint=struct.endpoint,
-            boot_id=struct.boot_id,
-            origin=struct.origin,
-            sequence=struct.sequence,
-            seen_at=_time_of(struct.age_ms, now),
-        )
-        for struct in structs
-        if struct.kind in _EVENT_KINDS
-    ]
-
-
 def encode_burn(buckets: Iterable[Bucket]) -> list[ttypes.BurnCounter]:
     """Return the structs of burn counters."""
     return [
--- /dev/null
+++ b/catkinhook/peersecret.py
@@ -0,0 +1,3 @@
+"""What hosts prove to each other before they talk."""
+
+MIN_SECRET_BYTES = 16
--- a/catkinhook/platform/boot.py
+++ b/catkinhook/platform/boot.py
@@ -8,10 +8,10 @@
 import attrs
 from result import Err, Ok, Result
 
+from catkinhook.addresses import split_address
+from catkinhook.faults import Fault
 from catkinhook.hostsettings import Bounds, HostSettings
 from catkinhook.platform.names import SETTINGS_VARIABLE
-from catkinhook.settings import split_address
-from catkinhook.yamlfile import Fault
 
 _MS = 0.001
 
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -16,8 +16,8 @@
     CountingConnection,
 )
 from catkinhook.requests.chunks import ChunkDecoder, ChunkError
-from catkinhook.requests.inflight import Outcome
 from catkinhook.requests.liveness import EndpointEar, read_until_dark
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.work import Placed
 
 STEP = "upstream"
--- a/catkinhook/requests/actors.py
+++ b/catkinhook/requests/actors.py
@@ -9,7 +9,8 @@
 from catkinhook.clocks import Clock, monotonic
 from catkinhook.errors import Ran, Refusal
 from catkinhook.operations.burn import Bucket, BurnLog
-from catkinhook.requests.dispatch import Choice, Dispatcher, Outcome, Request
+from catkinhook.requests.dispatch import Choice, Dispatcher, Request
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.reports import read_shared
 from catkinhook.state.views import Snapshot
 
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -14,11 +14,12 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from catkinhook.addresses import split_address
 from catkinhook.errors import EngineError, Ran
 from catkinhook.requests.chunks import ChunkDecoder, ChunkError
-from catkinhook.requests.dispatch import Outcome
-from catkinhook.settings import KIB, MIB, split_address
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.views import EndpointView
+from catkinhook.units import KIB, MIB
 
 STEP = "attempts"
 MAX_IDLE_PER_ADDRESS = 64
--- a/catkinhook/requests/calls.py
+++ b/catkinhook/requests/calls.py
@@ -15,7 +15,8 @@
 from catkinhook.operations.metrics import GatewayMetrics
 from catkinhook.requests.actors import Dispatch
 from catkinhook.requests.attempts import Attempt, AttemptError, AttemptLimits, Connections, Head
-from catkinhook.requests.dispatch import Choice, Outcome, Request
+from catkinhook.requests.dispatch import Choice, Request
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.pump import Pump
 from catkinhook.requests.relay import StreamRelay, render_error
 from catkinhook.requests.watch import CallerWatch
--- a/catkinhook/requests/candidates.py
+++ b/catkinhook/requests/candidates.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from catkinhook.state.documents import split_model
+from catkinhook.state.modelnames import split_model
 from catkinhook.state.views import EndpointView
 
 
--- a/catkinhook/requests/dispatch.py
+++ b/catkinhook/requests/dispatch.py
@@ -11,7 +11,8 @@
 from catkinhook.requests.candidates import EndpointIndex
 from catkinhook.requests.demand import ItemDemand
 from catkinhook.requests.estimates import Estimates
-from catkinhook.requests.inflight import Attempt, Choice, Outcome, Request, RequestState
+from catkinhook.requests.inflight import Attempt, Choice, Request, RequestState
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.prefixes import PrefixIndex
 from catkinhook.requests.suspects import EventKind, Standing, Suspects, may_host_suspect
 from catkinhook.state.documents import Document
--- a/catkinhook/requests/events.py
+++ b/catkinhook/requests/events.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from catkinhook.settings import KIB
+from catkinhook.units import KIB
 
 # An unfinished event is searched again with each read, so its cost grows with the square of this.
 MAX_EVENT_BYTES = 256 * KIB
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -12,13 +12,13 @@
 from catkinhook.operations.hostmetrics import HostMetrics
 from catkinhook.requests.attempts import AttemptError
 from catkinhook.requests.events import EventError, EventOrder, EventSplitter, RawEvent
-from catkinhook.requests.inflight import Outcome
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routes import Repeat
 from catkinhook.requests.scheduling import Scheduler, Ticket
 from catkinhook.requests.watch import CallerWatch
 from catkinhook.requests.work import Decision, Placed, Work, patience
-from catkinhook.settings import MIB
 from catkinhook.stateactor import Owned
+from catkinhook.units import MIB
 
 STEP = "forwarding"
 # Attempts of one request, those included that an endpoint refused without running them.
--- a/catkinhook/requests/inflight.py
+++ b/catkinhook/requests/inflight.py
@@ -1,7 +1,5 @@
 """Requests and attempts as the decisions see them."""
 
-import enum
-
 import attrs
 
 from catkinhook.state.documents import CallerClass, Document
@@ -51,17 +49,6 @@
     probe: bool = False
 
 
-class Outcome(enum.Enum):
-    """How an attempt ended."""
-
-    COMPLETED = "completed"
-    NOT_RUN = "not run"  # the connection was refused or the endpoint said so
-    FAILED = "failed"  # the endpoint answered with an error
-    CRASHED = "crashed"  # the connection broke and the endpoint was gone or had restarted
-    BROKEN = "broken"  # the connection broke and the endpoint lives on
-    CANCELLED = "cancelled"  # the caller left
-
-
 @attrs.define
 class Attempt:
     """An attempt in progress, with what was expected of it.
--- a/catkinhook/requests/relay.py
+++ b/catkinhook/requests/relay.py
@@ -7,8 +7,8 @@
 
 from catkinhook.operations.metrics import GatewayMetrics
 from catkinhook.requests.attempts import Attempt, AttemptError
-from catkinhook.requests.dispatch import Outcome
-from catkinhook.settings import KIB
+from catkinhook.requests.outcomes import Outcome
+from catkinhook.units import KIB
 
 STEP = "relay"
 # An unfinished event is searched again with each read, so its cost grows with the square of this.
--- a/catkinhook/requests/scheduling.py
+++ b/catkinhook/requests/scheduling.py
@@ -16,7 +16,7 @@
 from catkinhook.requests.candidates import EndpointIndex
 from catkinhook.requests.demand import ItemDemand
 from catkinhook.requests.estimates import DecayingMean, Estimates
-from catkinhook.requests.inflight import Outcome
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.prefixes import PrefixIndex
 from catkinhook.requests.routes import RouteTable
 from catkinhook.requests.suspects import EventKind, Standing, Suspects
--- a/catkinhook/settings.py
+++ b/catkinhook/settings.py
@@ -1,16 +1,16 @@
 """Settings of the daemons: every default, read from YAML and checked once at start."""
 
-import ipaddress
 import os
 from pathlib import Path
 
 import attrs
 from result import Err, Ok, Result
 
-from catkinhook.yamlfile import Bytes, Fault, Parsed, Seconds, parse
-
-KIB = 1 << 10
-MIB = 1 << 20
+from catkinhook.addresses import split_address
+from catkinhook.faults import Fault
+from catkinhook.peersecret import MIN_SECRET_BYTES
+from catkinhook.units import MIB
+from catkinhook.yamlfile import Bytes, Parsed, Seconds, parse
 
 
 @attrs.frozen(kw_only=True)
@@ -117,23 +117,9 @@
     controller: ControllerSettings = attrs.Factory(ControllerSettings)
 
 
-MIN_SECRET_BYTES = 16
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:port``.
-
-    :raises ValueError: if the address is not an IP number and a port from 0 to 65535.
-    """
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    ipaddress.ip_address(host)
-    if not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{port!r} is not a port")
-    return host, int(port)
-
-
 def _check_address(parsed: Parsed, path: tuple, address: str) -> list[Fault]:
     try:
         split_address(address)
--- a/catkinhook/state/configuration.py
+++ b/catkinhook/state/configuration.py
@@ -11,6 +11,7 @@
 
 from catkinhook.clocks import Clock, monotonic
 from catkinhook.errors import Effect, StepError, StoreConflict, StoreError
+from catkinhook.faults import Fault
 from catkinhook.state.changes import Change, ChangeBatch, Configuration, apply_batch
 from catkinhook.state.documents import Catalog, Document, check_owners, parse_document
 from catkinhook.state.tables import (
@@ -24,7 +25,6 @@
     make_nonce,
     scan_all,
 )
-from catkinhook.yamlfile import Fault
 
 DOCUMENTS = "documents"
 CHANGES = "changes"
--- a/catkinhook/state/documents.py
+++ b/catkinhook/state/documents.py
@@ -6,7 +6,8 @@
 import attrs
 from result import Err, Ok, Result
 
-from catkinhook.yamlfile import Bytes, Fault, Parsed, Seconds, parse
+from catkinhook.faults import Fault
+from catkinhook.yamlfile import Bytes, Parsed, Seconds, parse
 
 MAX_DOCUMENT_BYTES = 1 << 20
 MAX_COPIES = 64
@@ -231,12 +232,6 @@
     return Catalog(number, {document.service: document for document in ordered}, entries)
 
 
-def split_model(name: str) -> tuple[str, str]:
-    """Split ``model/adapter``; the adapter is empty when only a model is named."""
-    model, _, adapter = name.partition("/")
-    return model, adapter
-
-
 def _matches(route: Route, method: str, path: str) -> bool:
     prefix = route.path.rstrip("/")
     inside = path == prefix or path.startswith(prefix + "/")
--- /dev/null
+++ b/catkinhook/state/modelnames.py
@@ -0,0 +1,7 @@
+"""Names by which callers ask for models and adapters."""
+
+
+def split_model(name: str) -> tuple[str, str]:
+    """Split ``model/adapter``; the adapter is empty when only a model is named."""
+    model, _, adapter = name.partition("/")
+    return model, adapter
--- a/catkinhook/state/snapshots.py
+++ b/catkinhook/state/snapshots.py
@@ -11,7 +11,7 @@
 from catkinhook.clocks import Clock, monotonic
 from catkinhook.errors import StepError
 from catkinhook.operations.burn import MINUTE_S, RETENTION_MINUTES, Bucket
-from catkinhook.peering import wire
+from catkinhook.peering import structs, wire
 from catkinhook.peering.peers import CALL_TIMEOUT, PeerClient
 from catkinhook.state.changes import Configuration, apply_batch
 from catkinhook.state.documents import Catalog
@@ -139,7 +139,7 @@
         self.receive(wire.decode_report(request.report, self._clock(), peer))
         known = request.known_revision or 0
         fresh = request.known_incarnation != self._incarnation or not known
-        deadline = self._clock() + min(MAX_WAIT_S, (request.wait_ms or 0) / wire.MS_PER_S)
+        deadline = self._clock() + min(MAX_WAIT_S, (request.wait_ms or 0) / structs.MS_PER_S)
         with self._changed:
             while not (fresh or self._closing or self._revision > known):
                 remaining = deadline - self._clock()
@@ -229,7 +229,7 @@
             incarnation=self._incarnation,
             endpoints=[wire.encode_endpoint(view, now) for view in changed],
             removed=[] if full else [e for e, at in self._removed.items() if at > known],
-            suspects=wire.encode_suspects(self._suspects, now),
+            suspects=structs.encode_suspects(self._suspects, now),
             share=self._share,
             members=self._members,
             full=full,
@@ -282,7 +282,7 @@
         incarnation=reply.incarnation,
         configuration=apply_batch(state.configuration, batch, asked),
         endpoint_by_id=endpoint_by_id,
-        suspects=tuple(wire.decode_suspects(reply.suspects, now)),
+        suspects=tuple(structs.decode_suspects(reply.suspects, now)),
         share=reply.share,
         # A controller that restarted may know an older configuration than this gateway.
         current=bool(reply.current) and batch.number >= state.configuration.number,
@@ -414,7 +414,7 @@
         return ttypes.SnapshotRequest(
             known_revision=state.revision,
             known_configuration=state.configuration.number,
-            wait_ms=int(wait * wire.MS_PER_S),
+            wait_ms=int(wait * structs.MS_PER_S),
             report=wire.encode_report(report, self._clock()),
             known_incarnation=state.incarnation,
         )
--- a/catkinhook/state/views.py
+++ b/catkinhook/state/views.py
@@ -1,10 +1,14 @@
 """What the steps of the request path know about endpoints."""
 
+from typing import TYPE_CHECKING
+
 import attrs
 
-from catkinhook.state.documents import Catalog
 from catkinhook.state.reports import Suspect
 
+if TYPE_CHECKING:
+    from catkinhook.state.documents import Catalog
+
 
 @attrs.frozen
 class LoadReport:
@@ -68,7 +72,7 @@
     """
 
     revision: int
-    catalog: Catalog
+    catalog: "Catalog"
     endpoint_by_id: dict[str, EndpointView]
     share: float = 1.0
     current: bool = True
--- a/catkinhook/yamlfile.py
+++ b/catkinhook/yamlfile.py
@@ -11,6 +11,8 @@
 from ruamel.yaml.comments import CommentedBase
 from ruamel.yaml.error import MarkedYAMLError
 
+from catkinhook.faults import Fault
+
 Seconds = NewType("Seconds", float)
 Bytes = NewType("Bytes", int)
 
@@ -36,23 +38,6 @@
 T = TypeVar("T")
 
 
-@attrs.frozen
-class Fault:
-    """One thing that is wrong in a YAML text.
-
-    :ivar line: 1-based line, 0 when it concerns the whole text.
-    :ivar key: path of the key, such as ``models[0].memory``.
-    """
-
-    file: str
-    line: int
-    key: str
-    reason: str
-
-    def __str__(self) -> str:
-        return f"{self.file}:{self.line}: {self.key or '(document)'}: {self.reason}"
-
-
 @attrs.frozen
 class Parsed:
     """A checked object with the tree it was made from, to look up lines.
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,8 +8,9 @@
 
 from catkinhook.errors import Ran
 from catkinhook.requests import admission, estimates, retries, routing
-from catkinhook.requests.dispatch import Dispatcher, Outcome, Request
+from catkinhook.requests.dispatch import Dispatcher, Request
 from catkinhook.requests.limits import ServiceLimit
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.prefixes import TIME_TO_LIVE_S, PrefixIndex
 from catkinhook.state.documents import CallerClass, Document, Limits, Model, build_catalog
 from catkinhook.state.views import EndpointView, LoadReport, Snapshot
--- a/tests/test_fuzz_documents.py
+++ b/tests/test_fuzz_documents.py
@@ -10,9 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from catkinhook.faults import Fault
 from catkinhook.settings import read_settings
 from catkinhook.state.documents import _check_unique, parse_document
-from catkinhook.yamlfile import MAX_NODES, Fault, Parsed
+from catkinhook.yamlfile import MAX_NODES, Parsed
 
 HANG_S = 20.0
 DOCUMENT = """\
--- a/tests/test_fuzz_messages.py
+++ b/tests/test_fuzz_messages.py
@@ -11,13 +11,13 @@
 from thrift.protocol.TBinaryProtocol import TBinaryProtocol
 from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer
 
+from catkinhook.addresses import split_address
 from catkinhook.errors import StepError
-from catkinhook.peering import peers, wire
+from catkinhook.peering import peers, structs, wire
 from catkinhook.peering.gossip import Gossip
 from catkinhook.peering.handler import ControllerHandler
 from catkinhook.peering.membership import MAX_MEMBERS, Digest, Membership
 from catkinhook.peering.suspectlog import MAX_EVENTS
-from catkinhook.settings import split_address
 from catkinhook.thrift_gen import Controller, ttypes
 from tests.test_membership import make_member
 from tests.test_snapshots import make_event
@@ -142,4 +142,4 @@
         """Guards against news from the future, which would stay fresh for weeks."""
         struct = make_digest()
         struct.suspects[0].age_ms = -(2**31)
-        self.assertEqual(wire.decode_suspects(struct.suspects, 5.0)[0].seen_at, 5.0)
+        self.assertEqual(structs.decode_suspects(struct.suspects, 5.0)[0].seen_at, 5.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,8 +16,9 @@
 from catkinhook.durable.quarantine import QuarantineTable, State
 from catkinhook.emulators.memory import MemoryObjects, MemoryTable
 from catkinhook.gateway import FixedSource, build_kernel
-from catkinhook.requests.dispatch import Dispatcher, Outcome
+from catkinhook.requests.dispatch import Dispatcher
 from catkinhook.requests.intake import make_fingerprint
+from catkinhook.requests.outcomes import Outcome
 from tests.fakes import Cut, FakeEndpoint, RetryingDispatcher, make_settings, make_snapshot
 
 WAIT_S = 10.0
--- a/tests/test_host_costs.py
+++ b/tests/test_host_costs.py
@@ -3,13 +3,32 @@
 Everything is counted instead of timed, so that the verdicts repeat on any machine.
 """
 
+import os
+import subprocess
+import sys
 import threading
+import tomllib
+import unittest
+from pathlib import Path
 from unittest import mock
 
+from catkinhook.platform.names import SETTINGS_VARIABLE
 from catkinhook.stateactor import Owned
-from tests.hostcase import HostCase, wait_until
+from tests.hostcase import WAIT_S, HostCase, wait_until
 
+ROOT = Path(__file__).resolve().parent.parent
 EVENTS = 64
+# Modules of the command line and the other daemons.
+UNUSED_MODULES = {
+    "catkinhook.cli",
+    "catkinhook.operations.commands",
+    "catkinhook.peering.membership",
+    "catkinhook.state.changes",
+    "catkinhook.state.documents",
+    "cattrs",
+    "cyclopts",
+    "ruamel.yaml",
+}
 # Messages to the scheduler for one request beside those for its events: submit, first event and
 # end, and the pauses of the caller's and the holder's threads.
 MESSAGES_A_REQUEST = 6
@@ -39,3 +58,30 @@
         self.assertEqual(body.count(b"\n\n"), EVENTS)
         told = [name for name in callers if name.startswith("waitress")]
         self.assertLessEqual(len(told), EVENTS // 8 + MESSAGES_A_REQUEST)
+
+
+class StartCostTest(unittest.TestCase):
+    """Modules that a host loads at its start."""
+
+    def test_host_starts_without_modules_that_it_does_not_use(self) -> None:
+        """Guards against starts that take most of a host's processor time of a day.
+
+        A day of the platform starts 75 hosts twice, and the command line, YAML and documents took
+        half of each start.
+        """
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+        words = deploy["roles"]["host"]["run"].split()
+        self.assertEqual(words[:2], ["python3", "-m"])
+        environment = {k: v for k, v in os.environ.items() if k != SETTINGS_VARIABLE}
+        started = subprocess.run(
+            [sys.executable, "-X", "importtime", *words[1:]],
+            cwd=ROOT,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=WAIT_S,
+        )
+        loaded = {line.rpartition("|")[2].strip() for line in started.stderr.splitlines()}
+        self.assertIn("no settings file is named", started.stderr)
+        self.assertIn("catkinhook.host", loaded)
+        self.assertEqual(sorted(loaded & UNUSED_MODULES), [])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,10 +8,11 @@
 import time
 import unittest
 
+from catkinhook.addresses import split_address
 from catkinhook.peering import peers
 from catkinhook.peering.peers import PeerClient, PeerPool, PeerServer
-from catkinhook.settings import KIB, split_address
 from catkinhook.thrift_gen import ttypes
+from catkinhook.units import KIB
 
 SECRET = b"sixteen bytes or more"
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -8,7 +8,7 @@
 
 from catkinhook.errors import Ran, Refusal
 from catkinhook.hostsettings import Bounds
-from catkinhook.requests.inflight import Outcome
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routes import EngineSpec, Repeat, Route, RouteTable, ServiceSpec
 from catkinhook.requests.scheduling import Scheduler
 from catkinhook.requests.suspects import EventKind
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from catkinhook.operations.burn import Bucket
-from catkinhook.peering import wire
+from catkinhook.peering import structs, wire
 from catkinhook.peering.peers import PeerServer
 from catkinhook.requests.suspects import EventKind, Standing, Suspects
 from catkinhook.state.changes import Change, ChangeBatch, Configuration, apply_batch
@@ -150,9 +150,9 @@
 
     def test_unknown_kind_of_event_is_left_out(self) -> None:
         """Guards against a newer peer whose events this version can't judge."""
-        structs = wire.encode_suspects([make_event("a", 1), make_event("a", 2)], 1.0)
-        structs[0].kind = "something newer"
-        self.assertEqual([e.sequence for e in wire.decode_suspects(structs, 1.0)], [2])
+        sent = structs.encode_suspects([make_event("a", 1), make_event("a", 2)], 1.0)
+        sent[0].kind = "something newer"
+        self.assertEqual([e.sequence for e in structs.decode_suspects(sent, 1.0)], [2])
 
 
 class SnapshotClientTest(unittest.TestCase):
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from catkinhook.requests.dispatch import Dispatcher, Outcome
+from catkinhook.requests.dispatch import Dispatcher
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.suspects import EventKind, Standing, Suspects
 from catkinhook.state.documents import build_catalog
 from catkinhook.state.views import EndpointView, Snapshot
