Let idle threads of a host sleep

The watch now sleeps until there is a caller, and the planner looks once a second without the lease; taking the lease wakes it.

test_watch_of_callers_sleeps_while_there_is_none (48 waits in 0.5 s, 2 allowed) and test_planner_sleeps_on_a_host_without_the_lease (4 waits) failed before; test_planner_begins_at_once_with_the_lease came with the change.

--- a/catkinhook/control/holding.py
+++ b/catkinhook/control/holding.py
@@ -19,6 +19,8 @@
 
 # Seconds between plans when nothing happens; demand that arrives is planned for at once.
 PLAN_INTERVAL_S = 0.1
+# Seconds between looks at the lease of a host that does not hold it.
+IDLE_INTERVAL_S = 1.0
 # Reports that ask for nothing new share one sum of the demand for this long.
 REFRESH_S = 0.05
 # Part of the time of the actor that sums and plans may take, so that it answers all hosts. With 75
@@ -181,6 +183,7 @@
 
         self._desk.tell(change)
         self._wake()
+        self._is_due.set()
 
     def set_table(self, table: RouteTable) -> None:
         """Take over a newer configuration."""
@@ -220,7 +223,7 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
-            self._is_due.wait(PLAN_INTERVAL_S)
+            self._is_due.wait(PLAN_INTERVAL_S if self._may_order() else IDLE_INTERVAL_S)
             self._is_due.clear()
             self._stop.wait(max(0.0, self._rests_until - self._clock()))
             if self._may_order() and not self._stop.is_set():
--- a/catkinhook/requests/watch.py
+++ b/catkinhook/requests/watch.py
@@ -17,6 +17,7 @@
         self._interval = interval
         self._lock = threading.Lock()
         self._pair_by_key: dict[str, tuple[Callable[[], bool], Callable[[], None]]] = {}
+        self._is_watching = threading.Event()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="caller-watch", daemon=True)
 
@@ -27,6 +28,7 @@
     def close(self) -> None:
         """Stop the thread."""
         self._stop.set()
+        self._is_watching.set()
         self._thread.join()
 
     def add(self, key: str, has_left: Callable[[], bool], on_left: Callable[[], None]) -> None:
@@ -37,6 +39,7 @@
         """
         with self._lock:
             self._pair_by_key[key] = (has_left, on_left)
+            self._is_watching.set()
 
     def remove(self, key: str) -> None:
         """Stop watching."""
@@ -44,9 +47,13 @@
             self._pair_by_key.pop(key, None)
 
     def _run(self) -> None:
-        while not self._stop.wait(self._interval):
+        while not self._stop.is_set():
+            self._is_watching.wait()
+            self._stop.wait(self._interval)
             with self._lock:
                 pairs = list(self._pair_by_key.items())
+                if not pairs and not self._stop.is_set():
+                    self._is_watching.clear()
             for key, (has_left, on_left) in pairs:
                 if has_left():
                     self.remove(key)
--- a/tests/test_host_costs.py
+++ b/tests/test_host_costs.py
@@ -7,17 +7,30 @@
 import subprocess
 import sys
 import threading
+import time
 import tomllib
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 from unittest import mock
 
+from catkinhook.control.holding import IDLE_INTERVAL_S, Holder
+from catkinhook.control.provisioning import Provisioner
+from catkinhook.hostsettings import Bounds
+from catkinhook.operations.decisionlog import DecisionLog
+from catkinhook.operations.hostmetrics import HostMetrics
 from catkinhook.platform.names import SETTINGS_VARIABLE
+from catkinhook.requests.watch import CallerWatch
 from catkinhook.stateactor import Owned
 from tests.hostcase import WAIT_S, HostCase, wait_until
 
 ROOT = Path(__file__).resolve().parent.parent
 EVENTS = 64
+# Time for a thread to reach its wait, and time for which its waits are counted.
+SETTLE_S = 0.1
+IDLE_S = 0.5
+# Waits of a thread with nothing to do in that time.
+MAX_WAITS = 2
 # Modules of the command line and the other daemons.
 UNUSED_MODULES = {
     "catkinhook.cli",
@@ -85,3 +98,71 @@
         self.assertIn("no settings file is named", started.stderr)
         self.assertIn("catkinhook.host", loaded)
         self.assertEqual(sorted(loaded & UNUSED_MODULES), [])
+
+
+def count_waits(thread: threading.Thread, seconds: float) -> int:
+    """Return how often a thread went to sleep within a time."""
+
+    def read() -> int:
+        text = Path(f"/proc/self/task/{thread.native_id}/status").read_text(encoding="utf-8")
+        found = [line for line in text.splitlines() if line.startswith("voluntary_ctxt_switches")]
+        return int(found[0].split()[1])
+
+    time.sleep(SETTLE_S)
+    before = read()
+    time.sleep(seconds)
+    return read() - before
+
+
+def make_holder(may_order: Callable[[], bool]) -> Holder:
+    """Return a holder of no engines."""
+    return Holder(
+        "host",
+        Provisioner("host", Bounds()),
+        mock.Mock(),
+        may_order,
+        lambda: None,
+        HostMetrics(),
+        DecisionLog("host"),
+        time.monotonic,
+    )
+
+
+class IdleCostTest(unittest.TestCase):
+    """Threads of a host that has nothing to do.
+
+    A busy machine can only make the counts smaller.
+    """
+
+    def test_watch_of_callers_sleeps_while_there_is_none(self) -> None:
+        """Guards against ten looks a second at no caller on each host."""
+        watch = CallerWatch(0.01)
+        watch.start()
+        self.addCleanup(watch.close)
+        self.assertLessEqual(count_waits(watch._thread, IDLE_S), MAX_WAITS)
+        left = threading.Event()
+        watch.add("a", lambda: True, left.set)
+        self.assertTrue(left.wait(WAIT_S))
+        self.assertLessEqual(count_waits(watch._thread, IDLE_S), MAX_WAITS)
+
+    def test_planner_sleeps_on_a_host_without_the_lease(self) -> None:
+        """Guards against ten looks a second at a plan that another host makes."""
+        held = threading.Event()
+        holder = make_holder(held.is_set)
+        holder.start()
+        self.addCleanup(holder.close)
+        self.assertLessEqual(count_waits(holder._thread, IDLE_S), MAX_WAITS)
+
+    def test_planner_begins_at_once_with_the_lease(self) -> None:
+        """Guards against a holder that sleeps on after it took the lease."""
+        held = threading.Event()
+        planned = threading.Event()
+        holder = make_holder(lambda: held.is_set() and (planned.set() or True))
+        holder.start()
+        self.addCleanup(holder.close)
+        time.sleep(SETTLE_S)
+        held.set()
+        began = time.monotonic()
+        holder.begin(1, {})
+        self.assertTrue(planned.wait(WAIT_S))
+        self.assertLess(time.monotonic() - began, IDLE_INTERVAL_S / 2)
