Take over again only what changed of endpoints

A heartbeat that says nothing new now keeps the view's object, merged views are kept until their entry or the holder's word changes, and the scheduler leaves its index alone when it is given the same endpoints; it still decides on what waits.

test_heartbeat_does_not_change_an_endpoint and test_unchanged_endpoints_are_not_indexed_again failed before; test_unchanged_endpoint_is_not_merged_again came with the change.

--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -50,23 +50,39 @@
 MIN_HOSTS = 1
 
 
-def overlay(
-    endpoint_by_id: dict[str, EndpointView], holdings: Iterable[Holding]
-) -> dict[str, EndpointView]:
-    """Return the endpoints with what the holder knows of their models and adapters.
+class Overlay:
+    """Endpoints with what the holder knows of their models and adapters.
 
     An entry in the store tells nothing new after an adapter was loaded, so the holder's word goes
-    first for as long as it is recent.
+    first for as long as it is recent. A merged view is made again only when its entry or the
+    holder's word on it has changed: on a large deployment both are the same most of the time.
     """
-    merged = dict(endpoint_by_id)
-    for holding in holdings:
-        entry = merged.get(holding.endpoint)
-        if entry is None or entry.boot_id != holding.boot_id:
-            continue
-        merged[holding.endpoint] = attrs.evolve(
+
+    def __init__(self) -> None:
+        self._merged_by_id: dict[str, tuple[EndpointView, Holding, EndpointView]] = {}
+
+    def merge(
+        self, endpoint_by_id: dict[str, EndpointView], holdings: Iterable[Holding]
+    ) -> dict[str, EndpointView]:
+        """Return the endpoints with the holder's word on top."""
+        merged = dict(endpoint_by_id)
+        for holding in holdings:
+            entry = merged.get(holding.endpoint)
+            if entry is not None and entry.boot_id == holding.boot_id:
+                merged[holding.endpoint] = self._merge_one(entry, holding)
+        for endpoint in self._merged_by_id.keys() - merged.keys():
+            del self._merged_by_id[endpoint]
+        return merged
+
+    def _merge_one(self, entry: EndpointView, holding: Holding) -> EndpointView:
+        known = self._merged_by_id.get(entry.endpoint)
+        if known is not None and known[0] is entry and known[1] is holding:
+            return known[2]
+        view = attrs.evolve(
             entry, models=holding.models, adapters=holding.adapters, sequence=holding.sequence
         )
-    return merged
+        self._merged_by_id[entry.endpoint] = (entry, holding, view)
+        return view
 
 
 def shortest_pause(hosts: int) -> float:
@@ -123,6 +139,7 @@
         self._endpoint_by_id: dict[str, EndpointView] = {}
         self._entries_at = float("-inf")
         self._holding_by_id: dict[str, Holding] = {}
+        self._overlay = Overlay()
         self._known = (0, 0)
         self._view_at = float("-inf")
         self._was_heard = False
@@ -285,7 +302,7 @@
             # During an outage of the store, an old word of the holder is newer than the entries.
             is_newer = self._view_at > self._entries_at
             holdings = self._holding_by_id.values() if is_recent or is_newer else ()
-            endpoints = overlay(self._endpoint_by_id, holdings)
+            endpoints = self._overlay.merge(self._endpoint_by_id, holdings)
         hosts = max(MIN_HOSTS, len(self._addresses))
         now = time.monotonic()
 
--- a/catkinhook/requests/scheduling.py
+++ b/catkinhook/requests/scheduling.py
@@ -150,6 +150,9 @@
 
     def set_endpoints(self, endpoint_by_id: dict[str, EndpointView], now: float) -> None:
         """Take over the endpoints and what they hold."""
+        if endpoint_by_id == self._endpoint_by_id:
+            self.serve_waiting(now)
+            return
         for endpoint, view in endpoint_by_id.items():
             known = self._endpoint_by_id.get(endpoint)
             if known is not None and known.boot_id != view.boot_id:
--- a/catkinhook/state/watches.py
+++ b/catkinhook/state/watches.py
@@ -248,6 +248,8 @@
                 self._unusable.add(endpoint)
             return
         view = decoded.unwrap()
+        # A heartbeat that says nothing new leaves the same object, which others know by identity.
+        view = before if view == before else view
         self._book.put(view)
         self._value_by_id[endpoint] = value
         key = (view.leaving, view.boot_id, view.address)
--- a/tests/test_holderlink.py
+++ b/tests/test_holderlink.py
@@ -3,8 +3,10 @@
 import json
 import unittest
 
+import attrs
+
 from catkinhook.control.holding import EXCHANGE_S
-from catkinhook.peering.holderlink import HURRY_S, choose_pause, overlay
+from catkinhook.peering.holderlink import HURRY_S, Overlay, choose_pause
 from catkinhook.peering.hostmessages import Holding
 from catkinhook.platform.records import decode_endpoint
 from tests.platform_standin import FakeEndpoint
@@ -33,15 +35,27 @@
         An entry counts heartbeats under the name that a report uses for orders; compared with each
         other, each entry looked newer than what the holder knew.
         """
-        merged = overlay({"i-e": self.view}, [self.make("1")])
+        merged = Overlay().merge({"i-e": self.view}, [self.make("1")])
         self.assertEqual(merged["i-e"].models, {"m2"})
         self.assertEqual(merged["i-e"].adapters, {"m2/a1"})
 
     def test_restarted_engine_is_taken_from_its_entry(self) -> None:
         """Guards against requests for models that an engine lost at its restart."""
-        merged = overlay({"i-e": self.view}, [self.make("0")])
+        merged = Overlay().merge({"i-e": self.view}, [self.make("0")])
         self.assertEqual(merged["i-e"].models, {"m1"})
 
+    def test_unchanged_endpoint_is_not_merged_again(self) -> None:
+        """Guards against work for all engines of a deployment at each exchange of each host."""
+        overlay = Overlay()
+        holding = self.make("1")
+        first = overlay.merge({"i-e": self.view}, [holding])
+        self.assertIs(overlay.merge({"i-e": self.view}, [holding])["i-e"], first["i-e"])
+        changed = attrs.evolve(holding, models=frozenset(("m3",)))
+        self.assertEqual(overlay.merge({"i-e": self.view}, [changed])["i-e"].models, {"m3"})
+        self.assertEqual(overlay.merge({"i-e": self.view}, [])["i-e"].models, {"m1"})
+        leaving = attrs.evolve(self.view, leaving=True)
+        self.assertTrue(overlay.merge({"i-e": leaving}, [changed])["i-e"].leaving)
+
     def test_pause_follows_the_expected_time(self) -> None:
         """Guards against hosts that ask many times a second for what takes seconds."""
         missing = {("llm", "m1")}
--- a/tests/test_host_costs.py
+++ b/tests/test_host_costs.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import random
 import subprocess
 import sys
 import threading
@@ -20,9 +21,11 @@
 from catkinhook.operations.decisionlog import DecisionLog
 from catkinhook.operations.hostmetrics import HostMetrics
 from catkinhook.platform.names import SETTINGS_VARIABLE
+from catkinhook.requests.scheduling import Scheduler
 from catkinhook.requests.watch import CallerWatch
 from catkinhook.stateactor import Owned
 from tests.hostcase import WAIT_S, HostCase, wait_until
+from tests.test_holding import make_views
 
 ROOT = Path(__file__).resolve().parent.parent
 EVENTS = 64
@@ -114,6 +117,19 @@
     return read() - before
 
 
+class ViewCostTest(unittest.TestCase):
+    """Work for what a host is told again."""
+
+    def test_unchanged_endpoints_are_not_indexed_again(self) -> None:
+        """Guards against an index of all engines that is compared at each exchange."""
+        scheduler = Scheduler("z", "host", Bounds(), random.Random(1))
+        views = {view.endpoint: view for view in make_views(5)}
+        with mock.patch.object(scheduler._index, "update") as update:
+            for now in (1.0, 2.0):
+                scheduler.set_endpoints(dict(views), now)
+        self.assertEqual(update.call_count, 1)
+
+
 def make_holder(may_order: Callable[[], bool]) -> Holder:
     """Return a holder of no engines."""
     return Holder(
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -55,6 +55,17 @@
         is_newer = self.peer is not None and self.peer.version > known
         return self.peer if is_newer else None
 
+    def test_heartbeat_does_not_change_an_endpoint(self) -> None:
+        """Guards against work for each heartbeat of all engines on all hosts."""
+        entry = json.loads(make_entry("i-e"))
+        views = []
+        for sequence, state in enumerate(("ready", "ready", "draining"), 1):
+            value = json.dumps({**entry, "sequence": sequence, "state": state}).encode()
+            self.watch._take(Changes(version=sequence, value_by_key={"i-e": value}))
+            views.append(self.seen["i-e"])
+        self.assertIs(views[0], views[1])
+        self.assertTrue(views[2].leaving)
+
     def test_leaving_endpoints_are_seen_well_within_the_time_to_drain(self) -> None:
         """Guards against reads of the store that cost more than all other work of a host.
 
