--- a/catkinhook/state/watches.py
+++ b/catkinhook/state/watches.py
@@ -21,6 +21,8 @@
 ENDPOINT_PAUSE_SHARE = 0.3
 # Seconds between calls while the store does not answer.
 RETRY_S = 0.3
+# Peers that take longer than this to answer are logged.
+SLOW_PEERS_S = 0.5
 # The store counts as away when no call succeeded for this long.
 OUTAGE_S = 1.5
 
@@ -166,7 +168,17 @@
 
     def fetch_newer(self) -> None:
         """Ask other hosts for a newer configuration."""
+        began = time.monotonic()
         text = self._ask_peers(self.version)
+        took_s = time.monotonic() - began
+        if took_s > SLOW_PEERS_S:
+            self._log.record(
+                "feed",
+                outcome="peers were slow",
+                feed="configuration",
+                took_s=round(took_s, 3),
+                found=bool(text),
+            )
         if text:
             self.offer(text, "peer")
 
