Ask a few hosts for a newer configuration, not all in turn

When a call to the store failed, the thread of the configuration asked all other hosts in turn, 0.5 s for each silent one, up to 44 s with 88 hosts, and did not read the store meanwhile: on front-pest-b-19 its feed was away until 25.8 s, that of the endpoints until 11.8 s.

Two hosts are asked now, chosen anew each time, before the store is tried again; the host that is known to have a newer one is asked first; and the holder fetches what a report shows to be newer, so that all hear of it.

test_silent_peers_do_not_hold_up_the_configuration (44 s, 1 s allowed) and test_host_that_has_it_is_asked_first failed before; test_other_hosts_are_asked_each_time came with the change.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -212,7 +212,7 @@
             platform.configuration_key,
             platform.decode_configuration,
             use_table,
-            lambda known: ask_for_configuration(pool, self._peers(), known),
+            lambda known, first: ask_for_configuration(pool, self._peers(), known, rng, first),
             self.log,
         )
         self.endpoints = EndpointWatch(
--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -42,7 +42,8 @@
 HEARD_S = 1.0
 # The holder's word on an engine goes before its entry for this long.
 VIEW_LIFE_S = 3.0
-# Hosts that are asked in turn for entries of endpoints while the store does not answer.
+# Hosts that are asked in turn, for entries of endpoints or the configuration, before the store is
+# asked again. Each silent one takes ``PEER_TIMEOUT_S``, which for all of 88 hosts was up to 44 s.
 MAX_ASKED = 2
 # Suspect events are repeated for this long, and all are sent to a host that is new to a holder.
 SUSPECT_REPEAT_S = 1.5
@@ -132,7 +133,8 @@
         self._clock = clock
         self._lease: LeaseKeeper | None = None
         self._find_version: Callable[[], int] = lambda: 0
-        self._fetch_newer: Callable[[], None] = lambda: None
+        self._fetch_newer: Callable[[str], None] = lambda address: None
+        self._newer_at = ""
         self._wake = threading.Event()
         self._stop = threading.Event()
         self._lock = threading.Lock()
@@ -152,9 +154,12 @@
         self,
         lease: LeaseKeeper,
         find_version: Callable[[], int],
-        fetch_newer: Callable[[], None],
+        fetch_newer: Callable[[str], None],
     ) -> None:
-        """Name the services that are made after this one, before the start."""
+        """Name the services that are made after this one, before the start.
+
+        :param fetch_newer: asks the host at an address for a newer configuration.
+        """
         self._lease = lease
         self._find_version = find_version
         self._fetch_newer = fetch_newer
@@ -221,6 +226,10 @@
         if not self._lease.is_held():
             return HolderView(node=self._node, fence=0, holds=False)
         view = self._holder.answer(report)
+        if report.configuration > self._find_version():
+            # All hosts hear of it from this one, which the store may not answer.
+            self._newer_at = report.address
+            self._wake.set()
         self._merge_suspects(report.suspects)
         now = time.monotonic()
         life = SUSPECT_REPEAT_S if report.known_fence == view.fence else float("inf")
@@ -250,6 +259,9 @@
 
     def _exchange(self) -> float:
         """Exchange once; return the seconds until the next time."""
+        newer_at, self._newer_at = self._newer_at, ""
+        if newer_at:
+            self._fetch_newer(newer_at)
         view = self._ask_holder()
         if view is not None and view.holds:
             with self._lock:
@@ -261,7 +273,7 @@
             self._lease.confirm(view.lease_version, view.fence)
             self._merge_suspects(view.suspects)
             if view.configuration > self._find_version():
-                self._fetch_newer()
+                self._fetch_newer(self._holder_address())
             self._apply(view)
         elif view is not None:
             # The lease was given back, so that another host can take it at once.
@@ -290,6 +302,10 @@
             return None
         return decode_view(called.unwrap(), time.monotonic())
 
+    def _holder_address(self) -> str:
+        record = self._lease.holder()
+        return record.address if record is not None else ""
+
     def _merge_suspects(self, events: Iterable[SuspectEvent]) -> None:
         now = time.monotonic()
         events = list(events)
@@ -355,6 +371,16 @@
         return ttypes.EndpointEntries(version=entries.version, entry_by_id=values)
 
 
+def choose_peers(addresses: Iterable[str], rng: random.Random, first: str = "") -> list[str]:
+    """Return the few hosts that are asked in one step.
+
+    :param first: host to ask before all others, empty for none.
+    """
+    others = [address for address in addresses if address != first]
+    chosen = rng.sample(others, min(len(others), MAX_ASKED))
+    return [first, *chosen][:MAX_ASKED] if first else chosen
+
+
 def ask_for_entries(
     pool: PeerPool, addresses: Iterable[str], known: int, rng: random.Random
 ) -> Entries | None:
@@ -362,8 +388,7 @@
 
     :param addresses: ``IP:port`` of other hosts.
     """
-    peers = list(addresses)
-    for address in rng.sample(peers, min(len(peers), MAX_ASKED)):
+    for address in choose_peers(addresses, rng):
         called: Any = pool.call(address, "endpoints", known)
         if called.is_ok() and called.unwrap().version > known:
             answer = called.unwrap()
@@ -371,12 +396,15 @@
     return None
 
 
-def ask_for_configuration(pool: PeerPool, addresses: Iterable[str], known: int) -> bytes | None:
-    """Return a newer configuration of the first host that has one.
+def ask_for_configuration(
+    pool: PeerPool, addresses: Iterable[str], known: int, rng: random.Random, first: str = ""
+) -> bytes | None:
+    """Return a newer configuration that one of a few hosts has.
 
     :param addresses: ``IP:port`` of other hosts.
+    :param first: host that is known to have one, empty for none.
     """
-    for address in addresses:
+    for address in choose_peers(addresses, rng, first):
         called: Any = pool.call(address, "configuration", known)
         if called.is_ok() and called.unwrap().version > known and called.unwrap().text:
             return called.unwrap().text
--- a/catkinhook/state/watches.py
+++ b/catkinhook/state/watches.py
@@ -110,7 +110,8 @@
     :param key: key of its row.
     :param decode: decoder of the row, which returns a reason for what can't be used.
     :param on_table: called with each newer configuration.
-    :param ask_peers: returns a newer configuration of another host, None when there is none.
+    :param ask_peers: returns a configuration of another host that is newer than a version, None
+        when there is none; the second parameter is the address of a host to ask first.
     """
 
     def __init__(
@@ -119,7 +120,7 @@
         key: str,
         decode: Callable[[bytes], Result[RouteTable, str]],
         on_table: Callable[[RouteTable], None],
-        ask_peers: Callable[[int], bytes | None],
+        ask_peers: Callable[[int, str], bytes | None],
         log: DecisionLog,
     ) -> None:
         super().__init__("configuration", feed, 0.0, log)
@@ -166,10 +167,13 @@
         )
         return Ok(True)
 
-    def fetch_newer(self) -> None:
-        """Ask other hosts for a newer configuration."""
+    def fetch_newer(self, first: str = "") -> None:
+        """Ask other hosts for a newer configuration.
+
+        :param first: address of a host that is known to have one, empty for none.
+        """
         began = time.monotonic()
-        text = self._ask_peers(self.version)
+        text = self._ask_peers(self.version, first)
         took_s = time.monotonic() - began
         if took_s > SLOW_PEERS_S:
             self._log.record(
--- a/tests/test_holderlink.py
+++ b/tests/test_holderlink.py
@@ -1,14 +1,26 @@
 """What a host believes of engines: the store's entries and the holder's word."""
 
 import json
+import random
 import unittest
+from typing import Any
 
 import attrs
+from result import Err, Ok, Result
 
 from catkinhook.control.holding import EXCHANGE_S
-from catkinhook.peering.holderlink import HURRY_S, Overlay, choose_pause
+from catkinhook.errors import StepError
+from catkinhook.host import PEER_TIMEOUT_S
+from catkinhook.peering.holderlink import (
+    HURRY_S,
+    MAX_ASKED,
+    Overlay,
+    ask_for_configuration,
+    choose_pause,
+)
 from catkinhook.peering.hostmessages import Holding
 from catkinhook.platform.records import decode_endpoint
+from catkinhook.thrift_hosts import ttypes
 from tests.platform_standin import FakeEndpoint
 
 
@@ -76,5 +88,58 @@
             self.assertLessEqual(hosts / choose_pause(missing, {}, hosts), 250.0)
 
 
+class SilentPool:
+    """Connections to hosts of which only some answer, each after a while.
+
+    :ivar version_by_address: versions of the hosts that answer.
+    :ivar waited_s: time that calls to the others took.
+    """
+
+    def __init__(self, version_by_address: dict[str, int]) -> None:
+        self.version_by_address = version_by_address
+        self.waited_s = 0.0
+        self.asked: list[str] = []
+
+    def call(self, address: str, method: str, known: int) -> Result[Any, StepError]:
+        """Answer as the host at an address."""
+        self.asked.append(address)
+        version = self.version_by_address.get(address)
+        if version is None:
+            self.waited_s += PEER_TIMEOUT_S
+            return Err(StepError("peers", address, "timed out"))
+        text = b"newer" if version > known else b""
+        return Ok(ttypes.ConfigurationText(version=version, text=text))
+
+
+class PeerConfigurationTest(unittest.TestCase):
+    """A newer configuration of other hosts."""
+
+    peers = tuple(f"10.0.0.{number}:1" for number in range(88))
+
+    def test_silent_peers_do_not_hold_up_the_configuration(self) -> None:
+        """Guards against a feed that waits for one silent host after the other.
+
+        On kegyelet-kozpont-grown a host of 88 had its configuration 13 s after the store was back.
+        """
+        pool = SilentPool({})
+        found = ask_for_configuration(pool, self.peers, 3, random.Random(1))
+        self.assertIsNone(found)
+        self.assertLessEqual(pool.waited_s, MAX_ASKED * PEER_TIMEOUT_S)
+
+    def test_host_that_has_it_is_asked_first(self) -> None:
+        """Guards against a search for what the holder says that it has."""
+        pool = SilentPool(dict.fromkeys(self.peers, 4))
+        holder = self.peers[70]
+        found = ask_for_configuration(pool, self.peers, 3, random.Random(1), holder)
+        self.assertEqual((found, pool.asked), (b"newer", [holder]))
+
+    def test_other_hosts_are_asked_each_time(self) -> None:
+        """Guards against hosts that all ask the same ones, which may not have it."""
+        pool, rng = SilentPool({}), random.Random(1)
+        for _ in range(40):
+            ask_for_configuration(pool, self.peers, 3, rng)
+        self.assertGreater(len(set(pool.asked)), 30)
+
+
 if __name__ == "__main__":
     unittest.main()
