--- a/tests/test_holderlink.py
+++ b/tests/test_holderlink.py
@@ -4,22 +4,29 @@
 import random
 import unittest
 from typing import Any
+from unittest import mock
 
 import attrs
 from result import Err, Ok, Result
 
+from catkinhook.clocks import monotonic
 from catkinhook.control.holding import EXCHANGE_S
 from catkinhook.errors import StepError
 from catkinhook.host import PEER_TIMEOUT_S
+from catkinhook.hostsettings import Bounds
+from catkinhook.operations.decisionlog import DecisionLog
 from catkinhook.peering.holderlink import (
     HURRY_S,
     MAX_ASKED,
+    HolderLink,
     Overlay,
     ask_for_configuration,
     choose_pause,
 )
-from catkinhook.peering.hostmessages import Holding
+from catkinhook.peering.hostmessages import HolderView, Holding
 from catkinhook.platform.records import decode_endpoint
+from catkinhook.requests.scheduling import Scheduler
+from catkinhook.stateactor import Owned
 from catkinhook.thrift_hosts import ttypes
 from tests.platform_standin import FakeEndpoint
 
@@ -133,6 +140,33 @@
         found = ask_for_configuration(pool, self.peers, 3, random.Random(1), holder)
         self.assertEqual((found, pool.asked), (b"newer", [holder]))
 
+    def test_holder_fetches_what_a_report_shows_to_be_newer(self) -> None:
+        """Guards against a version that only some hosts get while the store is busy."""
+        scheduler = Owned(Scheduler("z", "host", Bounds(), random.Random(1)))
+        scheduler.start()
+        self.addCleanup(scheduler.close)
+        view = HolderView(node="host", fence=1, holds=True)
+        holder = mock.Mock(answer=mock.Mock(return_value=view))
+        lease = mock.Mock(is_held=mock.Mock(return_value=True), version=lambda: 1)
+        link = HolderLink(
+            "host",
+            "10.0.0.1:1",
+            "a",
+            scheduler,
+            holder,
+            mock.Mock(),
+            DecisionLog("host"),
+            monotonic,
+        )
+        asked: list[str] = []
+        link.connect(lease, lambda: 3, asked.append)
+        own = link.make_report()
+        for version in (3, 4):
+            link.answer(attrs.evolve(own, address="10.0.0.2:1", configuration=version))
+        link._exchange()
+        link._exchange()
+        self.assertEqual(asked, ["10.0.0.2:1"])
+
     def test_other_hosts_are_asked_each_time(self) -> None:
         """Guards against hosts that all ask the same ones, which may not have it."""
         pool, rng = SilentPool({}), random.Random(1)
