Send orders while engines are silent

Orders and reports shared 12 threads. An engine that gave no report was asked again 0.2 s after it was asked, while the call to a silent one takes 0.6 s: four silent engines took all threads, and with more of them orders queued up behind reports for as long as they were silent, and longer.

Orders have threads of their own, an engine is asked by one call at a time, and one that is down is asked once a second: 15 silent engines take 9 threads.

--- a/catkinhook/control/enginebooks.py
+++ b/catkinhook/control/enginebooks.py
@@ -10,6 +10,11 @@
 FAILURES_TO_DOWN = 2
 # Seconds between reports of an engine that carries out an order.
 BUSY_REPORT_S = 0.2
+# Seconds between reports of an engine that is down. A call to a silent one holds a thread for
+# 0.6 s.
+DOWN_REPORT_S = 1.0
+# A call for a report that has not ended after this time is counted as lost.
+ASKED_LIFE_S = 3.0
 
 
 @attrs.frozen(kw_only=True)
@@ -66,6 +71,7 @@
     :ivar retiring: model that gets no new requests, to be dropped for the planned one.
     :ivar failures: reports in a row that it did not give.
     :ivar is_doubted: a host could not reach it, so that it is asked for a report now.
+    :ivar is_asked: a call for a report is in progress.
     """
 
     view: EndpointView
@@ -89,6 +95,7 @@
     retiring_since: float = 0.0
     failures: int = 0
     is_doubted: bool = False
+    is_asked: bool = False
 
     @property
     def is_usable(self) -> bool:
--- a/catkinhook/control/holding.py
+++ b/catkinhook/control/holding.py
@@ -37,8 +37,11 @@
 REPORT_LIFE_S = 2.0
 # Seconds between lines that sum up the plans.
 SUMMARY_INTERVAL_S = 2.0
-# Orders and reports in progress over all engines.
-MAX_CALLS = 12
+# Orders in progress over all engines.
+MAX_ORDERS = 12
+# Reports in progress over all engines. Silent engines hold these threads, so that orders, which go
+# to engines that report, have their own.
+MAX_REPORTS = 12
 
 
 def exchange_pause(hosts: int) -> float:
@@ -141,7 +144,8 @@
         self._log = log
         self._clock = clock
         self._stop = threading.Event()
-        self._calls: ThreadPoolExecutor | None = None
+        self._orders: ThreadPoolExecutor | None = None
+        self._reports: ThreadPoolExecutor | None = None
         self._thread = threading.Thread(target=self._run, name="holder", daemon=True)
         self._is_due = threading.Event()
         self._rests_until = float("-inf")
@@ -151,7 +155,8 @@
     def start(self) -> None:
         """Start the actor and the thread that plans."""
         self._desk.start()
-        self._calls = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="orders")
+        self._orders = ThreadPoolExecutor(MAX_ORDERS, thread_name_prefix="orders")
+        self._reports = ThreadPoolExecutor(MAX_REPORTS, thread_name_prefix="reports")
         self._thread.start()
 
     def close(self) -> None:
@@ -159,7 +164,8 @@
         self._stop.set()
         self._is_due.set()
         self._thread.join()
-        self._calls.shutdown(wait=False, cancel_futures=True)
+        for calls in (self._orders, self._reports):
+            calls.shutdown(wait=False, cancel_futures=True)
         self._desk.close()
 
     def find_rates(self) -> dict[str, float]:
@@ -249,9 +255,9 @@
             return
         now = self._clock()
         for view in desk.provisioner.due_reports(now):
-            self._submit(lambda view=view: self._read_state(view))
+            self._submit(self._reports, lambda view=view: self._read_state(view))
         for command in desk.provisioner.plan(now):
-            self._submit(lambda command=command: self._send(command))
+            self._submit(self._orders, lambda command=command: self._send(command))
         desk.note_holdings()
         self._note_plan(desk, now)
 
@@ -277,9 +283,9 @@
         )
         self._summary = _Summary(since=now)
 
-    def _submit(self, call: Callable[[], None]) -> None:
+    def _submit(self, threads: ThreadPoolExecutor, call: Callable[[], None]) -> None:
         if not self._stop.is_set():
-            self._calls.submit(call)
+            threads.submit(call)
 
     def _read_state(self, view: EndpointView) -> None:
         asked_at = self._clock()
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -11,7 +11,10 @@
 import attrs
 
 from catkinhook.control.enginebooks import (
+    ASKED_LIFE_S,
     BUSY_REPORT_S,
+    DOWN_REPORT_S,
+    FAILURES_TO_DOWN,
     NO_DEMAND,
     Book,
     Demand,
@@ -196,7 +199,7 @@
         book = self._books.get(endpoint)
         if book is None:
             return
-        book.is_doubted = False
+        book.is_doubted = book.is_asked = False
         if state is None:
             book.failures += 1
             return
@@ -331,10 +334,11 @@
         """Return the engines that should be asked for a report now."""
         due = []
         for book in self._books.values():
-            if now - book.asked_at < self._report_interval(book, now):
+            age = now - book.asked_at
+            if age < self._report_interval(book, now) or (book.is_asked and age < ASKED_LIFE_S):
                 continue
             if book.settle_at is None or now >= book.settle_at:
-                book.asked_at = now
+                book.asked_at, book.is_asked = now, True
                 due.append(book.view)
         return due
 
@@ -368,6 +372,8 @@
 
     def _report_interval(self, book: Book, now: float) -> float:
         order = book.open_order
+        if book.failures >= FAILURES_TO_DOWN:
+            return DOWN_REPORT_S
         if book.sequence < 0 or book.settle_at is not None:
             return BUSY_REPORT_S
         if book.is_doubted or book.failures:
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -6,15 +6,17 @@
 from collections.abc import Callable
 
 import attrs
-from result import Ok
+from result import Err, Ok
 
-from catkinhook.control.enginebooks import Demand
-from catkinhook.control.enginestates import EngineState, OrderReply
-from catkinhook.control.holding import PLAN_SHARE, Holder
-from catkinhook.control.provisioning import Provisioner
+from catkinhook.clocks import monotonic
+from catkinhook.control.enginebooks import ASKED_LIFE_S, Demand
+from catkinhook.control.enginestates import EngineState, OrderReply, SequencedOrder
+from catkinhook.control.holding import MAX_REPORTS, PLAN_SHARE, Holder
+from catkinhook.control.provisioning import Command, Provisioner
 from catkinhook.hostsettings import Bounds
 from catkinhook.operations.decisionlog import DecisionLog
 from catkinhook.operations.hostmetrics import HostMetrics
+from catkinhook.platform.engine import REPORT_TIMEOUT_S
 from catkinhook.requests.routes import EngineSpec, ModelSpec, RouteTable, ServiceSpec
 from catkinhook.state.views import EndpointView
 
@@ -25,6 +27,9 @@
 # Calls beyond what the larger of two fleets should take, for what does not grow with it.
 CALL_ALLOWANCE = 1.2
 LOAD_S = 8.6
+# Time that only catches a hang.
+WAIT_S = 5.0
+SPAN_S = 30.0
 PLAN_S = 0.1
 REPORT_GAP_S = 0.05
 
@@ -201,7 +206,7 @@
             lambda: self.now,
         )
         # Without the thread that plans, only the calls of a test move the state.
-        self.holder._calls = NoCalls()
+        self.holder._orders = self.holder._reports = NoCalls()
         self.holder._desk.start()
         self.addCleanup(self.holder._desk.close)
 
@@ -237,5 +242,92 @@
         self.assertEqual(waited, [True])
 
 
+class SilentEngines:
+    """Engines that give no report until the end of the test, and take orders at once."""
+
+    def __init__(self) -> None:
+        self.is_over = threading.Event()
+        self.is_ordered = threading.Event()
+
+    def state(self, endpoint: EndpointView) -> Err:
+        """Return nothing for a long time."""
+        self.is_over.wait()
+        return Err("timed out")
+
+    def order(self, endpoint: EndpointView, order: SequencedOrder) -> Ok:
+        """Accept an order."""
+        self.is_ordered.set()
+        return Ok(OrderReply.ACCEPTED)
+
+
+class OneOrder(Provisioner):
+    """Plans that order one load once all engines were asked for reports."""
+
+    def __init__(self) -> None:
+        super().__init__("host", Bounds())
+        self.plans = 0
+
+    def plan(self, now: float) -> list[Command]:
+        """Return the order with the second plan."""
+        self.plans += 1
+        order = SequencedOrder(model="m1", is_load=True, expected=1, holder="host", fence=1)
+        return [Command(view=make_views(1)[0], order=order)] if self.plans == 2 else []
+
+
+class SilentEnginesTest(unittest.TestCase):
+    """Engines that answer nothing, as behind a cut link."""
+
+    def test_silent_engines_do_not_hold_up_orders(self) -> None:
+        """Guards against loads that wait for reports of engines that are not there.
+
+        Twelve threads made all calls, and a silent engine took a new one five times a second.
+        """
+        engines = SilentEngines()
+        self.addCleanup(engines.is_over.set)
+        provisioner = OneOrder()
+        provisioner.set_endpoints(make_views(45), 0.0)
+        holder = Holder(
+            "host",
+            provisioner,
+            engines,
+            lambda: True,
+            lambda: None,
+            HostMetrics(),
+            DecisionLog("host"),
+            monotonic,
+        )
+        holder.start()
+        holder.begin(1, {})
+        is_ordered = engines.is_ordered.wait(WAIT_S)
+        engines.is_over.set()
+        holder.close()
+        self.assertTrue(is_ordered)
+
+    def test_silent_engine_is_asked_by_one_call_at_a_time(self) -> None:
+        """Guards against calls to a silent engine that pile up until each times out."""
+        provisioner = Provisioner("host", Bounds())
+        provisioner.set_endpoints(make_views(1), 0.0)
+        asked = [now for now in ticks(ASKED_LIFE_S) if provisioner.due_reports(now)]
+        self.assertEqual(len(asked), 1)
+        provisioner.note_state("e0", None, 0.0)
+        self.assertTrue(provisioner.due_reports(ASKED_LIFE_S))
+
+    def test_engines_that_are_down_leave_threads_for_the_others(self) -> None:
+        """Guards against reports of a third of the engines that keep all threads busy."""
+        provisioner = Provisioner("host", Bounds())
+        provisioner.set_endpoints(make_views(15), 0.0)
+        busy_s = 0.0
+        for now in ticks(SPAN_S):
+            for view in provisioner.due_reports(now):
+                busy_s += REPORT_TIMEOUT_S
+                provisioner.note_state(view.endpoint, None, now)
+        self.assertLess(busy_s / SPAN_S, MAX_REPORTS)
+
+
+def ticks(until: float) -> list[float]:
+    """Return the times of plans."""
+    return [round(0.1 * number, 1) for number in range(int(until / 0.1))]
+
+
 if __name__ == "__main__":
     unittest.main()
