--- a/tests/test_host_costs.py
+++ b/tests/test_host_costs.py
@@ -45,8 +45,8 @@
     "cyclopts",
     "ruamel.yaml",
 }
-# Messages to the scheduler for one request beside those for its events: submit, first event and
-# end, and the pauses of the caller's and the holder's threads.
+# Most messages of a request to the scheduler beside those for groups of events, such as for its first
+# event and its end.
 MESSAGES_A_REQUEST = 6
 
 
@@ -56,7 +56,7 @@
     def test_events_of_a_stream_are_told_to_the_scheduler_in_groups(self) -> None:
         """Guards against a message to the scheduler's actor for each event of a stream.
 
-        Each one wakes the actor's thread, which took a third of the time of a request.
+        Each one wakes the actor's thread, which took a quarter of the processor time of an event.
         """
         for engine in self.engines:
             engine.events, engine.gap_s = EVENTS, 0.002
