--- a/tests/test_host_costs.py
+++ b/tests/test_host_costs.py
@@ -45,8 +45,8 @@
     "cyclopts",
     "ruamel.yaml",
 }
-# Most messages of a request to the scheduler beside those for groups of events, such as for its first
-# event and its end.
+# Most messages of a request to the scheduler beside those for groups of events, such as for its
+# first event and its end.
 MESSAGES_A_REQUEST = 6
 
 
