Pass on only numbered events in a stream, each checked

Callers found an error's text, at times its whole head, in the middle of their stream: a resumed answer with status 200 whose body is not events was joined to the first one. An error event was passed on too, and so were events whose second id, or whose line ends (LF CR LF), hid another number from the check. An id of 5,000 digits ended the request as an unhandled error.

Cause: the splitter took any bytes up to an empty line as an event, and the order was checked only for events with a number.

Now each block of lines is parsed: it is an event with exactly one number, data and no error, or a comment. Anything else fails the attempt, and the next one resumes after the last event. Line ends may differ within a stream. Bytes are still passed on unchanged.

The fake endpoint numbers its endless events, as test_stream_without_end_is_closed is about valid ones.

--- a/catkinhook/requests/eventsplitter.py
+++ b/catkinhook/requests/eventsplitter.py
@@ -1,59 +1,62 @@
 """Splitting of a byte stream into server-sent events without changing their bytes."""
 
-import attrs
+import re
 
 from catkinhook.units import KIB
 
 # An incomplete event is scanned again at each read, so the cost is quadratic in this limit.
 MAX_EVENT_BYTES = 256 * KIB
 
-_EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+# Lines up to an empty one. The ends of lines may differ within a stream; an atomic group keeps both
+# bytes of CR LF together.
+_BLOCK = re.compile(rb"(?>[^\r\n]+(?>\r\n|\n|\r))*+(?>\r\n|\n|\r)")
+# Names of fields that are not known here are accepted: clients ignore them.
+_FIELD = re.compile(rb"(?:[a-z][a-z0-9-]*)?:|data\Z")
+# The limit on digits keeps the number within 64 bits.
+_NUMBER = re.compile(rb"0|[1-9][0-9]{0,17}")
+# Fields of blocks that are not events. The empty name is that of comments and empty lines.
+_CONTROL_FIELDS = frozenset({b"", b"retry"})
+_ERROR_EVENT = b"error"
 
 
 class EventError(ValueError):
     """An event stream is malformed or out of order."""
 
 
-@attrs.frozen
-class RawEvent:
-    """One event as received, including the empty line that ends it.
-
-    :ivar number: numeric id of the event, None if it has none.
-    """
-
-    raw: bytes
-    number: int | None
-
-
 class EventSplitter:
-    """Incremental splitter of server-sent events.
-
-    :ivar pending: bytes of an incomplete event.
-    """
+    """Incremental splitter of server-sent events; their content is not checked."""
 
     def __init__(self) -> None:
-        self.pending = b""
+        self._pending = b""
 
-    def feed(self, data: bytes) -> list[RawEvent]:
-        """Return the events that are complete with these bytes.
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the blocks of lines that are complete with these bytes.
 
-        :raises EventError: if an event exceeds the size limit.
+        :returns: events or comments, each with the empty line that ends it.
+        :raises EventError: if a block exceeds the size limit.
         """
-        data = self.pending + data if self.pending else data
-        events: list[RawEvent] = []
+        data = self._pending + data if self._pending else data
+        blocks: list[bytes] = []
         start = 0
-        while (end := _find_end(data, start)) >= 0:
-            raw = data[start:end]
-            events.append(RawEvent(raw, _read_number(raw)))
-            start = end
-        self.pending = data[start:]
-        if len(self.pending) > MAX_EVENT_BYTES:
+        while match := _BLOCK.match(data, start):
+            blocks.append(match[0])
+            start = match.end()
+        self._pending = data[start:]
+        if len(self._pending) > MAX_EVENT_BYTES:
             raise EventError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
-        return events
+        return blocks
+
+    def finish(self) -> None:
+        """Check that the stream ends after a complete block.
+
+        :raises EventError: if it ends within one.
+        """
+        if self._pending:
+            raise EventError("the stream ended within an event")
 
 
 class EventOrderChecker:
-    """Checks that events arrive once and in order, across attempts at several endpoints.
+    """Checks that only events arrive, once and in order, across attempts at several endpoints.
 
     :ivar last: number of the last accepted event.
     """
@@ -66,31 +69,37 @@
         """Require that the next event directly follows the last one, as it must after a resume."""
         self._is_resumed = True
 
-    def accept(self, event: RawEvent) -> None:
-        """Accept the next event.
+    def accept(self, block: bytes) -> bool:
+        """Accept the next block of lines, and return whether it is an event.
 
-        :raises EventError: if it is out of order.
+        :raises EventError: if it is neither an event nor a comment, is out of order, or reports an
+            error.
         """
-        if event.number is None:
-            return
-        follows = event.number == self.last + 1 if self._is_resumed else event.number > self.last
+        number = _parse_number(block)
+        if number is None:
+            return False
+        follows = number == self.last + 1 if self._is_resumed else number > self.last
         if not follows:
-            raise EventError(f"event {event.number} follows event {self.last}")
-        self.last = event.number
-
-
-def _find_end(data: bytes, start: int) -> int:
-    ends = [(at, len(end)) for end in _EVENT_ENDS if (at := data.find(end, start)) >= 0]
-    if not ends:
-        return -1
-    at, size = min(ends)
-    return at + size
-
-
-def _read_number(raw: bytes) -> int | None:
-    for line in raw.replace(b"\r", b"\n").split(b"\n"):
-        name, separator, value = line.partition(b":")
-        if separator and name == b"id":
-            value = value.strip()
-            return int(value) if value.isdigit() else None
-    return None
+            raise EventError(f"event {number} follows event {self.last}")
+        self.last = number
+        return True
+
+
+def _parse_number(block: bytes) -> int | None:
+    """Return the number of an event, None for a block that callers do not read as an event."""
+    values_by_name: dict[bytes, list[bytes]] = {}
+    for line in block.splitlines():
+        if line and not _FIELD.match(line):
+            raise EventError(f"{line[:40]!r} is not a line of an event")
+        name, _, value = line.partition(b":")
+        values_by_name.setdefault(name, []).append(value.removeprefix(b" "))
+    if values_by_name.keys() <= _CONTROL_FIELDS:
+        return None
+    if _ERROR_EVENT in values_by_name.get(b"event", ()):
+        raise EventError("the endpoint sent an error event")
+    ids = values_by_name.get(b"id", [])
+    if len(ids) != 1 or not _NUMBER.fullmatch(ids[0]):
+        raise EventError("an event does not have exactly one number")
+    if b"data" not in values_by_name:
+        raise EventError(f"event {int(ids[0])} has no data")
+    return int(ids[0])
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -12,7 +12,7 @@
 from catkinhook.operations.hostmetrics import HostMetrics
 from catkinhook.requests.attempts import AttemptError
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
-from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter, RawEvent
+from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import (
@@ -463,22 +463,23 @@
         return Reply(status=answer.status, headers=answer.headers, body=body)
 
     def _read_events(self, assignment: Assignment, answer: UpstreamAnswer) -> Iterator[bytes]:
-        """Yield complete events of one attempt as they arrive."""
+        """Yield complete events of one attempt as they arrive.
+
+        :raises AttemptError: if the attempt failed, or its answer is not a stream of events that
+            continues what the caller received.
+        """
         splitter = EventSplitter()
         is_started = False
         unrecorded = 0
         try:
             while data := answer.read(self._read_timeout()):
-                events = splitter.feed(data)
-                if not events:
-                    continue
-                if self.first_received_at is None:
+                chunk, events, error = self._accept(splitter.feed(data))
+                if events and self.first_received_at is None:
                     self.first_received_at = time.monotonic()
-                chunk, error = self._accept(events)
-                if not is_started:
+                if events and not is_started:
                     is_started = True
                     self._forwarder.record_first_event(assignment, answer.load)
-                unrecorded += len(events)
+                unrecorded += events
                 if unrecorded >= RECORD_INTERVAL_EVENTS:
                     self._forwarder.record_events(assignment, unrecorded)
                     unrecorded = 0
@@ -486,22 +487,23 @@
                     yield chunk
                 if error is not None:
                     raise error
-            if splitter.pending:
-                raise EventError("the stream ended within an event")
+            splitter.finish()
         except EventError as error:
             raise AttemptError(
                 STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault="sequence"
             ) from error
 
-    def _accept(self, events: list[RawEvent]) -> tuple[bytes, EventError | None]:
-        accepted = []
-        for event in events:
+    def _accept(self, blocks: list[bytes]) -> tuple[bytes, int, EventError | None]:
+        """Return the bytes of the blocks before an invalid one, and the number of their events."""
+        accepted: list[bytes] = []
+        events = 0
+        for block in blocks:
             try:
-                self.event_order.accept(event)
+                events += self.event_order.accept(block)
             except EventError as error:
-                return b"".join(accepted), error
-            accepted.append(event.raw)
-        return b"".join(accepted), None
+                return b"".join(accepted), events, error
+            accepted.append(block)
+        return b"".join(accepted), events, None
 
     def _relay_events(
         self, assignment: Assignment, answer: UpstreamAnswer, first: bytes, chunks: Iterator[bytes]
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -1,6 +1,7 @@
 """Fakes of the platform's store and endpoints, with injectable faults."""
 
 import base64
+import collections
 import json
 import threading
 import time
@@ -185,6 +186,26 @@
         return next((v for n, v in self.headers if n.lower() == name.lower()), None)
 
 
+@attrs.frozen(kw_only=True)
+class ScriptedAnswer:
+    """Answer with status 200 to a stream request, sent byte by byte as given.
+
+    :ivar framing: ``chunked``, ``length`` or ``closing`` (delimited by the connection's end).
+    :ivar content_type: None for no such header.
+    :ivar request_id: id in the answer, empty for that of the request.
+    :ivar is_cut: whether the connection ends before the end of the answer.
+    :ivar chunk_size: bytes of each chunk, 0 for one chunk.
+    """
+
+    body: bytes = b""
+    framing: str = "chunked"
+    content_type: str | None = "text/event-stream"
+    request_id: str = ""
+    is_signed: bool = True
+    is_cut: bool = False
+    chunk_size: int = 0
+
+
 class FakeEndpoint(FakeServer):
     """Fake plain endpoint or engine.
 
@@ -203,6 +224,8 @@
     :ivar gap_s: pause after each event.
     :ivar pause_s: additional pause after the second event.
     :ivar stop_after: events after which a stream that was not resumed breaks; 0 for never.
+    :ivar scripted_answers: answers to the next stream requests, before regular ones; endpoints may
+        share the same queue.
     """
 
     def __init__(self, endpoint: str, models: tuple[str, ...] = ()) -> None:
@@ -215,6 +238,7 @@
         self.stop_after = 0
         self.gap_s = 0.0
         self.pause_s = 0.0
+        self.scripted_answers: collections.deque[ScriptedAnswer] = collections.deque()
         self.received: list[ReceivedRequest] = []
         self.orders: list[dict] = []
         self.order_status = 0
@@ -292,7 +316,10 @@
             return
         echoed = "0000" if fault == "crossed" else request_id
         if request.headers.get("Model"):
-            self._send_stream(request, echoed)
+            if self.scripted_answers:
+                self._send_scripted(request, self.scripted_answers.popleft())
+            else:
+                self._send_stream(request, echoed)
             return
         body = self.endpoint.encode() * 20
         request.send_response(500 if fault == "error" else 200)
@@ -327,11 +354,13 @@
             if is_refusal:
                 request.send_header("Not-Executed", "1")
             request.end_headers()
-            if self.fault == "endless-events":
-                chunk = b"data: token\n\n"
         self.endless_open += 1
+        number = 0
         try:
             while not self._is_closed:
+                if self.fault == "endless-events":
+                    number += 1
+                    chunk = b"id: %d\ndata: token\n\n" % number
                 request.wfile.write(chunk)
                 self.endless_sent += len(chunk)
                 if len(chunk) < 1000:
@@ -341,6 +370,30 @@
         finally:
             self.endless_open -= 1
 
+    def _send_scripted(self, request: BaseHTTPRequestHandler, answer: ScriptedAnswer) -> None:
+        body, size = answer.body, answer.chunk_size or len(answer.body)
+        headers = {
+            "Attempt-Id": answer.request_id or request.headers["Attempt-Id"],
+            "Response-Seal": f"seal-{self.endpoint}" if answer.is_signed else None,
+            "Content-Type": answer.content_type,
+            "Transfer-Encoding": "chunked" if answer.framing == "chunked" else None,
+            "Content-Length": str(len(body)) if answer.framing == "length" else None,
+        }
+        request.send_response(200)
+        for name, value in headers.items():
+            if value is not None:
+                request.send_header(name, value)
+        request.end_headers()
+        if answer.is_cut and answer.framing == "length":
+            body = body[:-1]
+        for start in range(0, len(body), max(1, size)):
+            part = body[start : start + size]
+            head, tail = (b"%x\r\n" % len(part), b"\r\n")
+            request.wfile.write(head + part + tail if answer.framing == "chunked" else part)
+        if answer.framing == "chunked" and not answer.is_cut:
+            request.wfile.write(b"0\r\n\r\n")
+        request.close_connection = answer.is_cut or answer.framing == "closing"
+
     def _send_stream(self, request: BaseHTTPRequestHandler, echoed: str) -> None:
         request.send_response(200)
         request.send_header("Attempt-Id", echoed)
--- /dev/null
+++ b/tests/test_stream_answers.py
@@ -0,0 +1,207 @@
+"""Only events of the caller's stream, in their order, reach the caller of a stream."""
+
+import collections
+import http.client
+import unittest
+
+from catkinhook.hostsettings import Bounds
+from tests.hostcase import HostCase, wait_until
+from tests.platform_fakes import FakeEndpoint, ScriptedAnswer, make_configuration
+
+HEADERS = {"Model": "m1", "Token_Usage": "10,20"}
+MAX_ATTEMPTS = 3
+LAST = 5
+HTTP_ERROR = (
+    b"HTTP/1.1 500 Internal Server Error\r\nServer: engine\r\nContent-Type: text/plain\r\n"
+    b"Content-Length: 15\r\n\r\nout of memory\n\n"
+)
+
+
+def events(first: int, last: int) -> bytes:
+    """Return events as the fake endpoint sends them."""
+    return b"".join(b"id: %d\ndata: token%d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+BEGUN = ScriptedAnswer(body=events(1, 3) + b"id: 4\ndata: to", is_cut=True)
+
+# Bodies that are no stream of events from number 4 on, with the bytes that may reach the caller.
+BAD_BODIES: dict[str, tuple[bytes, bytes]] = {
+    "response head and text": (HTTP_ERROR, b""),
+    "response head with an id": (b"HTTP/1.1 200 OK\nid: 4\ndata: x\n\n", b""),
+    "JSON": (b'{"error":\n\n"out of memory"}\n\n', b""),
+    "HTML": (b"<html>\n\n<h1>502 Bad Gateway</h1>\n\n</html>\n\n", b""),
+    "text without an empty line": (b"upstream connect error", b""),
+    "no id": (b"data: token4\n\n" + events(5, 5), b""),
+    "id that is a word": (b"id: four\ndata: token4\n\n" + events(5, 5), b""),
+    "id with a sign": (b"id: +4\ndata: token4\n\n" + events(5, 5), b""),
+    "id of 5000 digits": (b"id: " + b"4" * 5000 + b"\ndata: token4\n\n" + events(5, 5), b""),
+    "two ids": (b"id: 4\nid: 9\ndata: token4\n\n" + events(5, 5), b""),
+    "id without data": (b"id: 4\n\n" + events(5, 5), b""),
+    "header line within an event": (b"Server: x\nid: 4\ndata: token4\n\n" + events(5, 5), b""),
+    "line without a name": (b"id: 4\ndata: token4\ntoken\n\n" + events(5, 5), b""),
+    "error event": (b"event: error\ndata: out of memory\n\n", b""),
+    "numbered error event": (b"id: 4\nevent: error\ndata: out of memory\n\n", b""),
+    "begins again": (events(1, 5), b""),
+    "repeats": (events(3, 5), b""),
+    "skips": (events(5, 5), b""),
+    "repeats later": (events(4, 4) + events(4, 5), events(4, 4)),
+    "skips later": (events(4, 4) + events(6, 6), events(4, 4)),
+    "hidden event after LF CR LF": (
+        b"id: 4\ndata: a\n\r\nid: 9\ndata: b\n\n",
+        b"id: 4\ndata: a\n\r\n",
+    ),
+    "hidden event after CR LF LF": (
+        b"id: 4\ndata: a\r\n\nid: 9\ndata: b\n\n",
+        b"id: 4\ndata: a\r\n\n",
+    ),
+    "no empty line at the end": (events(4, 5)[:-1], events(4, 4)),
+    "error event after the events": (
+        events(4, 4) + b"event: error\ndata: out of memory\n\n",
+        events(4, 4),
+    ),
+}
+
+# Forms of events 4 and 5 that are valid.
+GOOD_BODIES: dict[str, bytes] = {
+    "plain": events(4, 5),
+    "comments": b": keep-alive\n\n" + events(4, 4) + b":\n\n" + events(5, 5) + b": end\n\n",
+    "comments within events": b": a\nid: 4\n: b\ndata: token4\n\n" + events(5, 5),
+    "CR LF": events(4, 5).replace(b"\n", b"\r\n"),
+    "CR": events(4, 5).replace(b"\n", b"\r"),
+    "mixed line ends": b"id: 4\ndata: token4\r\n\nid: 5\rdata: token5\n\r\n",
+    "more empty lines": b"\n" + events(4, 4) + b"\n\n\n" + events(5, 5) + b"\n",
+    "weights changed": b"weight-versions: 2\n" + events(4, 5),
+    "reconnection time": b"retry: 1000\n\n" + events(4, 5),
+    "named events": events(4, 5).replace(b"id:", b"event: token\nid:"),
+    "no spaces": events(4, 5).replace(b": ", b":"),
+    "several data lines": events(4, 5).replace(b"\n\n", b"\ndata: more\ndata\n\n"),
+}
+
+
+class StreamAnswerTest(HostCase):
+    """Answers of engines to the first and to later attempts at a stream."""
+
+    # The tests repeat more requests than the default budget allows.
+    bounds = Bounds(lease_s=1.0, grace_s=4.0, retry_slack=10_000.0)
+
+    def setUp(self) -> None:
+        super().setUp()
+        third = FakeEndpoint("i-e3", ("m1",))
+        third.start()
+        self.addCleanup(third.close)
+        self.engines.append(third)
+        self.requests_sent = 0
+        self.script: collections.deque[ScriptedAnswer] = collections.deque()
+        for engine in self.engines:
+            engine.scripted_answers = self.script
+        configuration = make_configuration(2)
+        for route in configuration["routes"]:
+            if route["name"] == "live":
+                route["max_attempts"] = MAX_ATTEMPTS
+        self.store.put("servers", third.endpoint, third.entry("llm"))
+        self.store.put("op", "config", configuration)
+        wait_until(lambda: self.host.configuration.version == 2)
+
+    def receive(
+        self, path: str, *answers: ScriptedAnswer, **headers: str
+    ) -> tuple[int, bytes, bool]:
+        """Send a request whose attempts get these answers, later ones regular answers.
+
+        :returns: status, body as far as it arrived, and whether it is complete.
+        """
+        self.requests_sent += 1
+        self.script.clear()
+        self.script.extend(answers)
+        for engine in self.engines:
+            engine.received.clear()
+        try:
+            # Requests with an equal path and body count as repeats of one that crashes engines.
+            target = f"{path}{self.requests_sent}"
+            response, body = self.send_request("POST", target, b"p", **HEADERS, **headers)
+        except http.client.IncompleteRead as error:
+            return 200, error.partial, False
+        return response.status, body, True
+
+    def count_attempts(self) -> int:
+        """Return how many requests reached engines since the last ``receive``."""
+        return len(self.received_requests(self.engines))
+
+    def test_resumed_answer_that_is_no_stream_is_not_joined(self) -> None:
+        """Text of errors must not get into a stream, nor end it as if it were complete.
+
+        Operators reported that callers found an error's text, at times its whole head, in the
+        middle of their stream.
+        """
+        for name, (body, passed) in BAD_BODIES.items():
+            for framing in ("chunked", "length", "closing"):
+                with self.subTest(name, framing=framing):
+                    bad = ScriptedAnswer(body=body, framing=framing)
+                    received = self.receive("/live/x", BEGUN, bad, bad)
+                    # The second of two equal answers may begin with an event that is then wrong.
+                    allowed = events(1, 3) + passed
+                    self.assertFalse(received[2], received)
+                    self.assertTrue(received[1].startswith(allowed), received)
+                    self.assertIn(received[1][len(allowed) :], (b"", passed), received)
+                    self.assertEqual(self.count_attempts(), MAX_ATTEMPTS)
+
+    def test_stream_resumes_after_an_answer_that_is_no_stream(self) -> None:
+        """An answer that is no stream counts as a failed attempt, which the next one replaces."""
+        for name, (body, passed) in BAD_BODIES.items():
+            with self.subTest(name):
+                received = self.receive("/live/x", BEGUN, ScriptedAnswer(body=body))
+                last = 3 + passed.count(b"id: ")
+                self.assertEqual(
+                    received, (200, events(1, 3) + passed + events(last + 1, LAST), True)
+                )
+                self.assertEqual(self.count_attempts(), MAX_ATTEMPTS)
+                event_ids = [r.get("Last-Event-Id") for r in self.received_requests(self.engines)]
+                self.assertEqual(
+                    sorted(event_ids, key=str), sorted(["3", str(last), None], key=str)
+                )
+
+    def test_valid_events_are_joined_byte_by_byte(self) -> None:
+        """Comments, other line ends and more fields must pass unchanged, however they are split."""
+        for name, body in GOOD_BODIES.items():
+            for framing in ("chunked", "length", "closing"):
+                for size in (0, 1):
+                    with self.subTest(name, framing=framing, size=size):
+                        good = ScriptedAnswer(body=body, framing=framing, chunk_size=size)
+                        received = self.receive("/live/x", BEGUN, good)
+                        self.assertEqual(received, (200, events(1, 3) + body, True))
+
+    def test_first_answer_that_is_no_stream_of_events_fails(self) -> None:
+        """A first answer that is called a stream and is none must not look like one."""
+        for name, (body, _) in BAD_BODIES.items():
+            if body.startswith((b"id: 1\n", b"id: 3\n", b"id: 4\ndata", b"id: 5\n", b":")):
+                # These begin like a stream; the next test covers their faults.
+                continue
+            with self.subTest(name):
+                bad = ScriptedAnswer(body=body)
+                self.assertEqual(self.receive("/digest/x", bad)[0], 502)
+                self.assertEqual(self.count_attempts(), 1)
+                received = self.receive("/live/x", bad)
+                self.assertEqual(received, (200, events(1, LAST), True))
+
+    def test_first_answer_with_a_later_fault_is_cut(self) -> None:
+        """A fault after some events must not reach the caller, nor look like the end."""
+        faults = {
+            "response head and text": HTTP_ERROR,
+            "no id": b"data: token4\n\n",
+            "two ids": b"id: 4\nid: 9\ndata: token4\n\n",
+            "error event": b"event: error\ndata: out of memory\n\n",
+            "repeats": events(3, 3),
+            "unfinished event": b"id: 4\ndata: token4\n",
+        }
+        for name, fault in faults.items():
+            with self.subTest(name):
+                answer = ScriptedAnswer(body=events(1, 3) + fault + events(4, LAST))
+                if name == "unfinished event":
+                    answer = ScriptedAnswer(body=events(1, 3) + fault)
+                received = self.receive("/digest/x", answer)
+                self.assertEqual(received, (200, events(1, 3), False))
+                received = self.receive("/live/x", answer)
+                self.assertEqual(received, (200, events(1, LAST), True))
+
+
+if __name__ == "__main__":
+    unittest.main()
