Look at the type of an answer before it is read as a stream

A resumed answer of another Content-Type was joined to the caller's stream if its body could be split. A first answer of another type, such as JSON, was cut at its last empty line, though the endpoint's status, body and signature are to be returned unchanged.

Cause: any answer with status 200 on a route of streams was read as a stream.

A resumed answer whose type isn't text/event-stream now fails the attempt, also if the caller resumes. A first answer of another type is forwarded unchanged once it is complete, and is never joined. A missing type is accepted, as each event is checked.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -42,6 +42,7 @@
 DECISION_GRACE_S = 1.0
 # Largest answer that is buffered before it is sent, which bounds the memory of a request.
 MAX_ANSWER_BYTES = 8 * MIB
+EVENT_STREAM = "text/event-stream"
 
 
 class UpstreamAnswer(Protocol):
@@ -371,13 +372,23 @@
     def _run_attempt(self, assignment: Assignment) -> Reply:
         answer = self._open(assignment)
         try:
-            if self.request.route.is_stream and answer.status == 200:
+            if self._is_stream(answer):
                 return self._begin_stream(assignment, answer)
             return self._read_complete_answer(assignment, answer)
         except AttemptError:
             answer.close()
             raise
 
+    def _is_stream(self, answer: UpstreamAnswer) -> bool:
+        """Return whether the answer to a first attempt has to be a stream of events.
+
+        One of another type is forwarded when it is complete, unless the caller joins it to events
+        that it already has.
+        """
+        if not self.request.route.is_stream or answer.status != 200:
+            return False
+        return self._is_resume or _is_event_stream(answer)
+
     def _open(self, assignment: Assignment) -> UpstreamAnswer:
         """Send the request to an endpoint and read the head of the answer."""
         self.attempts_sent += 1
@@ -472,6 +483,8 @@
         is_started = False
         unrecorded = 0
         try:
+            if not _is_event_stream(answer):
+                raise EventError("the answer is not a stream of events")
             while data := answer.read(self._read_timeout()):
                 chunk, events, error = self._accept(splitter.feed(data))
                 if events and self.first_received_at is None:
@@ -594,3 +607,9 @@
         reason = f"{error.reason}; {no_retry_reason}"
         code = "late" if is_timed_out else "endpoint-failed"
         return Refusal(error.step, error.peer, reason, code, status, self.ran, 0.5)
+
+
+def _is_event_stream(answer: UpstreamAnswer) -> bool:
+    """Return whether the type of an answer is that of a stream of events, or missing."""
+    types = [value for name, value in answer.headers if name.lower() == "content-type"]
+    return all(value.partition(";")[0].strip().lower() == EVENT_STREAM for value in types)
--- a/tests/test_stream_answers.py
+++ b/tests/test_stream_answers.py
@@ -4,6 +4,8 @@
 import http.client
 import unittest
 
+import attrs
+
 from catkinhook.hostsettings import Bounds
 from tests.hostcase import HostCase, wait_until
 from tests.platform_fakes import FakeEndpoint, ScriptedAnswer, make_configuration
@@ -159,6 +161,24 @@
                     sorted(event_ids, key=str), sorted(["3", str(last), None], key=str)
                 )
 
+    def test_resumed_answer_with_wrong_headers_is_not_joined(self) -> None:
+        """Events under a foreign id, without a signature or of another type are not joined."""
+        good = ScriptedAnswer(body=events(4, LAST))
+        changes: dict[str, dict[str, object]] = {
+            "id of another request": {"request_id": "0000"},
+            "no signature": {"is_signed": False},
+            "JSON": {"content_type": "application/json"},
+            "text": {"content_type": "text/plain; charset=utf-8"},
+        }
+        for name, change in changes.items():
+            for framing in ("chunked", "length", "closing"):
+                with self.subTest(name, framing=framing):
+                    bad = attrs.evolve(good, framing=framing, **change)
+                    received = self.receive("/live/x", BEGUN, bad, bad)
+                    self.assertEqual(received, (200, events(1, 3), False))
+                    received = self.receive("/live/x", BEGUN, bad)
+                    self.assertEqual(received, (200, events(1, LAST), True))
+
     def test_valid_events_are_joined_byte_by_byte(self) -> None:
         """Comments, other line ends and more fields must pass unchanged, however they are split."""
         for name, body in GOOD_BODIES.items():
@@ -169,6 +189,15 @@
                         received = self.receive("/live/x", BEGUN, good)
                         self.assertEqual(received, (200, events(1, 3) + body, True))
 
+    def test_type_of_a_stream_may_be_missing_or_have_parameters(self) -> None:
+        """Strict checks of the type must not end sound streams."""
+        for content_type in (None, "text/event-stream; charset=utf-8", "Text/Event-Stream"):
+            with self.subTest(content_type):
+                first = attrs.evolve(BEGUN, content_type=content_type)
+                second = ScriptedAnswer(body=events(4, LAST), content_type=content_type)
+                received = self.receive("/live/x", first, second)
+                self.assertEqual(received, (200, events(1, LAST), True))
+
     def test_first_answer_that_is_no_stream_of_events_fails(self) -> None:
         """A first answer that is called a stream and is none must not look like one."""
         for name, (body, _) in BAD_BODIES.items():
@@ -202,6 +231,32 @@
                 received = self.receive("/live/x", answer)
                 self.assertEqual(received, (200, events(1, LAST), True))
 
+    def test_whole_answer_of_another_type_is_forwarded_unchanged(self) -> None:
+        """A sealed answer that isn't a stream, such as JSON, must arrive whole or not at all."""
+        body = b'{"text":\n\n"token"}'
+        for path in ("/digest/x", "/live/x"):
+            for framing in ("chunked", "length", "closing"):
+                with self.subTest(path=path, framing=framing):
+                    whole = ScriptedAnswer(
+                        body=body, framing=framing, content_type="application/json"
+                    )
+                    self.assertEqual(self.receive(path, whole), (200, body, True))
+                    if framing == "closing":
+                        continue
+                    cut = attrs.evolve(whole, is_cut=True)
+                    received = self.receive(path, cut)
+                    expected = (200, events(1, LAST), True) if path == "/live/x" else None
+                    self.assertEqual(received, expected or (502, *received[1:]))
+
+    def test_answer_to_a_caller_who_resumes_is_a_stream(self) -> None:
+        """A caller joins the answer to its earlier events, so it must continue the stream."""
+        json_answer = ScriptedAnswer(body=b'{"text": "x"}', content_type="application/json")
+        for answer in (json_answer, ScriptedAnswer(body=events(5, 5))):
+            received = self.receive("/live/x", answer, Last_Event_Id="3")
+            self.assertEqual(received, (200, events(4, LAST), True))
+            received = self.receive("/live/x", *[answer] * MAX_ATTEMPTS, Last_Event_Id="3")
+            self.assertEqual(received[0], 502)
+
 
 if __name__ == "__main__":
     unittest.main()
