Don't take an answer without an event for the end of a stream

Callers' streams ended as complete before their last event: a resumed answer with status 200 that ended at once, without an event or with comments alone, ended the stream.

Cause: streams have no end marker, so an answer that ends within its framing completes the stream, even an empty one. Nothing else tells the last event: Token-Usage gives a maximum only, and the format of the signature is not published.

Such an answer now fails the attempt, also a first one. If no attempt follows, the stream is cut. A stream that broke off between its last event and its end is therefore cut as well; it can't be told apart.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -501,6 +501,9 @@
                 if error is not None:
                     raise error
             splitter.finish()
+            if not is_started:
+                # Streams have no end marker, so an empty one can't be told from a complete one.
+                raise EventError("the stream ended without an event")
         except EventError as error:
             raise AttemptError(
                 STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault="sequence"
--- a/tests/test_stream_answers.py
+++ b/tests/test_stream_answers.py
@@ -33,6 +33,8 @@
     "JSON": (b'{"error":\n\n"out of memory"}\n\n', b""),
     "HTML": (b"<html>\n\n<h1>502 Bad Gateway</h1>\n\n</html>\n\n", b""),
     "text without an empty line": (b"upstream connect error", b""),
+    "nothing": (b"", b""),
+    "comments alone": (b": keep-alive\n\n: keep-alive\n\n", b": keep-alive\n\n: keep-alive\n\n"),
     "no id": (b"data: token4\n\n" + events(5, 5), b""),
     "id that is a word": (b"id: four\ndata: token4\n\n" + events(5, 5), b""),
     "id with a sign": (b"id: +4\ndata: token4\n\n" + events(5, 5), b""),
@@ -57,6 +59,7 @@
         b"id: 4\ndata: a\r\n\n",
     ),
     "no empty line at the end": (events(4, 5)[:-1], events(4, 4)),
+    "text after the events": (events(4, 5) + HTTP_ERROR, events(4, 5)),
     "error event after the events": (
         events(4, 4) + b"event: error\ndata: out of memory\n\n",
         events(4, 4),
@@ -151,6 +154,10 @@
         for name, (body, passed) in BAD_BODIES.items():
             with self.subTest(name):
                 received = self.receive("/live/x", BEGUN, ScriptedAnswer(body=body))
+                if name == "text after the events":
+                    # No event is left, so no later attempt can show that the stream is complete.
+                    self.assertEqual(received, (200, events(1, LAST), False))
+                    continue
                 last = 3 + passed.count(b"id: ")
                 self.assertEqual(
                     received, (200, events(1, 3) + passed + events(last + 1, LAST), True)
@@ -251,7 +258,7 @@
     def test_answer_to_a_caller_who_resumes_is_a_stream(self) -> None:
         """A caller joins the answer to its earlier events, so it must continue the stream."""
         json_answer = ScriptedAnswer(body=b'{"text": "x"}', content_type="application/json")
-        for answer in (json_answer, ScriptedAnswer(body=events(5, 5))):
+        for answer in (json_answer, ScriptedAnswer(body=events(5, 5)), ScriptedAnswer()):
             received = self.receive("/live/x", answer, Last_Event_Id="3")
             self.assertEqual(received, (200, events(4, LAST), True))
             received = self.receive("/live/x", *[answer] * MAX_ATTEMPTS, Last_Event_Id="3")
