--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -195,6 +195,7 @@
     :ivar request_id: id in the answer, empty for that of the request.
     :ivar is_cut: whether the connection ends before the end of the answer.
     :ivar chunk_size: bytes of each chunk, 0 for one chunk.
+    :ivar more_headers: headers that are added, or replace those of the framing.
     """
 
     body: bytes = b""
@@ -204,6 +205,7 @@
     is_signed: bool = True
     is_cut: bool = False
     chunk_size: int = 0
+    more_headers: dict[str, str] = attrs.field(factory=dict, hash=False)
 
 
 class FakeEndpoint(FakeServer):
@@ -378,6 +380,7 @@
             "Content-Type": answer.content_type,
             "Transfer-Encoding": "chunked" if answer.framing == "chunked" else None,
             "Content-Length": str(len(body)) if answer.framing == "length" else None,
+            **answer.more_headers,
         }
         request.send_response(200)
         for name, value in headers.items():
--- a/tests/test_stream_answers.py
+++ b/tests/test_stream_answers.py
@@ -122,7 +122,7 @@
         try:
             # Requests with an equal path and body count as repeats of one that crashes engines.
             target = f"{path}{self.requests_sent}"
-            response, body = self.send_request("POST", target, b"p", **HEADERS, **headers)
+            response, body = self.send_request("POST", target, b"p", **HEADERS | headers)
         except http.client.IncompleteRead as error:
             return 200, error.partial, False
         return response.status, body, True
@@ -264,6 +264,30 @@
             received = self.receive("/live/x", *[answer] * MAX_ATTEMPTS, Last_Event_Id="3")
             self.assertEqual(received[0], 502)
 
+    def test_odd_numbers_in_headers_cost_only_their_answer(self) -> None:
+        """Digits that Python can't convert must not end a request with the host's own 500.
+
+        The attempt was then never finished, so its place at the endpoint stayed taken.
+        """
+        for digits in ("\u00b2", "9" * 5000):
+            for name in ("Content-Length", "Server-Load", "Keep-Alive"):
+                value = {"Server-Load": f"{digits},{digits},8", "Keep-Alive": f"timeout={digits}"}
+                with self.subTest(name, digits=digits[:1]):
+                    odd = ScriptedAnswer(
+                        body=events(1, LAST),
+                        framing="length",
+                        more_headers={name: value.get(name, digits)},
+                    )
+                    received = self.receive("/live/x", odd)
+                    self.assertEqual(received, (200, events(1, LAST), True))
+                    status = self.receive("/digest/x", odd)[0]
+                    self.assertEqual(status, 502 if name == "Content-Length" else 200)
+            for name in ("Last-Event-Id", "Token-Usage"):
+                with self.subTest(name, digits=digits[:1]):
+                    values = {"Last-Event-Id": digits, "Token-Usage": f"{digits},{digits}"}
+                    received = self.receive("/live/x", **{name.replace("-", "_"): values[name]})
+                    self.assertEqual(received, (200, events(1, LAST), True))
+
 
 if __name__ == "__main__":
     unittest.main()
