Don't pass an engine's error event on as a token

With the product's own interface, callers got the text of an engine's error as a token of their stream if the event had the expected id: event names were not read.

Cause: the class of events that are passed on without a check of all that they say. Other text, such as a whole second answer, was dropped already, as only events with the id of the attempt are rendered anew.

Such an event is now dropped and counted as 'error', and the stream is resumed after the event before it.

Evidence: with the change 'error event', both stream tests of test_answer_integrity failed before: 'own-0 foreign-1 own-2' != 'own-0 own-1 own-2'.

--- a/catkinhook/requests/relay.py
+++ b/catkinhook/requests/relay.py
@@ -14,6 +14,7 @@
 # An incomplete event is scanned again at each read, so the cost is quadratic in this limit.
 MAX_EVENT_BYTES = 256 * KIB
 DONE = b"[DONE]"
+ERROR_EVENT = b"error"
 MAX_RESUMES_WITHOUT_EVENT = 3
 RESUME_BACKOFF_S = 0.05
 
@@ -22,7 +23,7 @@
 class StreamError(Exception):
     """A stream contains invalid events, or events of another attempt.
 
-    :ivar kind: ``crossed``, ``sequence``, ``unnumbered`` or ``oversized``.
+    :ivar kind: ``crossed``, ``sequence``, ``unnumbered``, ``oversized`` or ``error``.
     """
 
     kind: str
@@ -35,10 +36,12 @@
 
     :ivar event_id: text of the ``id`` field, empty for none.
     :ivar data: lines of the ``data`` fields joined by newlines.
+    :ivar is_error: whether the engine reports an error instead of a token.
     """
 
     event_id: bytes
     data: bytes
+    is_error: bool = False
 
 
 class EventParser:
@@ -69,7 +72,7 @@
 
 
 def _parse_block(block: bytes) -> Event | None:
-    event_id, lines = b"", []
+    event_id, event_type, lines = b"", b"", []
     for line in block.split(b"\n"):
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
@@ -77,7 +80,9 @@
             lines.append(value)
         elif name == b"id":
             event_id = value
-    return Event(event_id, b"\n".join(lines)) if lines else None
+        elif name == b"event":
+            event_type = value
+    return Event(event_id, b"\n".join(lines), event_type == ERROR_EVENT) if lines else None
 
 
 class EventChecker:
@@ -90,8 +95,11 @@
     def check(self, event: Event) -> None:
         """Accept the next event.
 
-        :raises StreamError: if it belongs to another attempt or is out of sequence.
+        :raises StreamError: if it reports an error, belongs to another attempt or is out of
+            sequence.
         """
+        if event.is_error:
+            raise StreamError("error", "the engine sent an error event")
         if event.event_id == self._prefix + b"%d" % (self.last_sequence + 1):
             self.last_sequence += 1
             return
@@ -113,7 +121,7 @@
 
 def render_error(problem: bytes) -> bytes:
     """Return the event that ends an incomplete stream."""
-    return b"event: error\ndata: " + problem + b"\n\n"
+    return b"event: " + ERROR_EVENT + b"\ndata: " + problem + b"\n\n"
 
 
 class StreamRelay:
--- a/tests/test_answer_integrity.py
+++ b/tests/test_answer_integrity.py
@@ -51,6 +51,14 @@
     raise Cut
 
 
+def _report_error(attempt: str, sequence: int, block: bytes) -> list[bytes]:
+    return [b"event: error\n" + block.replace(b"own", b"foreign")]
+
+
+def _replace_with_answer(attempt: str, sequence: int, block: bytes) -> list[bytes]:
+    return [b"HTTP/1.1 500 Internal Server Error\r\nServer: engine\r\n\r\nforeign\r\n\r\n"]
+
+
 CHANGES: dict[str, Callable[[str, int, bytes], list[bytes]]] = {
     "crossed": _cross,
     "late event of an earlier attempt": lambda a, n, b: [*_cross(a, n, b), b],
@@ -59,6 +67,8 @@
     "missing": lambda a, n, b: [],
     "without id": lambda a, n, b: [b.partition(b"\n")[2].replace(b"own", b"foreign")],
     "cut": _cut,
+    "error event": _report_error,
+    "answer instead of an event": _replace_with_answer,
 }
 
 
