Turn away answers whose framing is ambiguous

Cause: only the first Transfer-Encoding and the first Content-Length were read, and a coding other than 'chunked' counted as none.

Such an answer now fails the attempt.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -218,16 +218,24 @@
             for name, value in response.headers.items()
             if name.lower() not in protocolnames.HOP_BY_HOP_HEADERS
         )
-        if get("Transfer-Encoding", "").lower() == "chunked":
+        self._read_framing()
+        self._take_buffered()
+
+    def _read_framing(self) -> None:
+        get_all = self._response.headers.get_all
+        codings = [value.strip().lower() for value in get_all("Transfer-Encoding", [])]
+        lengths = {value.strip() for value in get_all("Content-Length", [])}
+        if codings == ["chunked"]:
             self._chunks = ChunkDecoder()
+        elif codings or len(lengths) > 1:
+            raise self._error("sent an answer of ambiguous framing", fault="unframed")
         elif self.status in _BODILESS:
             self._is_ended = True
-        elif (length := get("Content-Length")) is not None:
-            self._bytes_left = parse_whole_number(length)
+        elif lengths:
+            self._bytes_left = parse_whole_number(lengths.pop())
             if self._bytes_left is None:
                 raise self._error("sent an answer of unknown length", fault="unframed")
             self._is_ended = self._bytes_left == 0
-        self._take_buffered()
 
     def _take_buffered(self) -> None:
         """Take the body bytes that were read with the headers.
--- a/tests/test_stream_answers.py
+++ b/tests/test_stream_answers.py
@@ -264,6 +264,27 @@
             received = self.receive("/live/x", *[answer] * MAX_ATTEMPTS, Last_Event_Id="3")
             self.assertEqual(received[0], 502)
 
+    def test_answer_with_ambiguous_framing_is_not_forwarded(self) -> None:
+        """Codings other than chunked, and several lengths, must not give a cut or raw body."""
+        body = b"5\r\nhello\r\n0\r\n\r\n"
+        framings = {
+            "other coding": {"Transfer-Encoding": "gzip, chunked"},
+            "several codings": {"Transfer-Encoding": "chunked", "transfer-encoding": "gzip"},
+            "several lengths": {"Content-Length": "3", "content-length": str(len(body))},
+        }
+        for content_type in ("application/json", "text/event-stream"):
+            for name, headers in framings.items():
+                with self.subTest(name, content_type=content_type):
+                    odd = ScriptedAnswer(
+                        body=body,
+                        framing="closing",
+                        content_type=content_type,
+                        more_headers=headers,
+                    )
+                    self.assertEqual(self.receive("/digest/x", odd)[0], 502)
+                    received = self.receive("/live/x", odd)
+                    self.assertEqual(received, (200, events(1, LAST), True))
+
     def test_odd_numbers_in_headers_cost_only_their_answer(self) -> None:
         """Digits that Python can't convert must not end a request with the host's own 500.
 
