--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -19,6 +19,7 @@
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
+from catkinhook.wholenumbers import parse_whole_number
 
 STEP = "upstream"
 CONNECT_TIMEOUT_S = 0.5
@@ -217,16 +218,24 @@
             for name, value in response.headers.items()
             if name.lower() not in protocolnames.HOP_BY_HOP_HEADERS
         )
-        if get("Transfer-Encoding", "").lower() == "chunked":
+        self._read_framing()
+        self._take_buffered()
+
+    def _read_framing(self) -> None:
+        get_all = self._response.headers.get_all
+        codings = [value.strip().lower() for value in get_all("Transfer-Encoding", [])]
+        lengths = {value.strip() for value in get_all("Content-Length", [])}
+        if codings == ["chunked"]:
             self._chunks = ChunkDecoder()
+        elif codings or len(lengths) > 1:
+            raise self._error("sent an answer of ambiguous framing", fault="unframed")
         elif self.status in _BODILESS:
             self._is_ended = True
-        elif (length := get("Content-Length")) is not None:
-            if not length.isdigit():
+        elif lengths:
+            self._bytes_left = parse_whole_number(lengths.pop())
+            if self._bytes_left is None:
                 raise self._error("sent an answer of unknown length", fault="unframed")
-            self._bytes_left = int(length)
             self._is_ended = self._bytes_left == 0
-        self._take_buffered()
 
     def _take_buffered(self) -> None:
         """Take the body bytes that were read with the headers.
@@ -358,15 +367,14 @@
 
 
 def _parse_load(text: str) -> tuple[int, int] | None:
-    parts = text.split(",")
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
-        return None
-    return int(parts[0]), int(parts[1])
+    counts = [parse_whole_number(part.strip()) for part in text.split(",")[:2]]
+    return (counts[0], counts[1]) if len(counts) == 2 and None not in counts else None
 
 
 def _parse_idle_limit(text: str) -> float:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return max(0.0, int(value) - IDLE_MARGIN_S)
+        seconds = parse_whole_number(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return max(0.0, seconds - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -12,7 +12,7 @@
 from catkinhook.operations.hostmetrics import HostMetrics
 from catkinhook.requests.attempts import AttemptError
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
-from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter, RawEvent
+from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import (
@@ -42,6 +42,7 @@
 DECISION_GRACE_S = 1.0
 # Largest answer that is buffered before it is sent, which bounds the memory of a request.
 MAX_ANSWER_BYTES = 8 * MIB
+EVENT_STREAM = "text/event-stream"
 
 
 class UpstreamAnswer(Protocol):
@@ -371,13 +372,23 @@
     def _run_attempt(self, assignment: Assignment) -> Reply:
         answer = self._open(assignment)
         try:
-            if self.request.route.is_stream and answer.status == 200:
+            if self._is_stream(answer):
                 return self._begin_stream(assignment, answer)
             return self._read_complete_answer(assignment, answer)
         except AttemptError:
             answer.close()
             raise
 
+    def _is_stream(self, answer: UpstreamAnswer) -> bool:
+        """Return whether the answer to a first attempt has to be a stream of events.
+
+        One of another type is forwarded when it is complete, unless the caller joins it to events
+        that it already has.
+        """
+        if not self.request.route.is_stream or answer.status != 200:
+            return False
+        return self._is_resume or _is_event_stream(answer)
+
     def _open(self, assignment: Assignment) -> UpstreamAnswer:
         """Send the request to an endpoint and read the head of the answer."""
         self.attempts_sent += 1
@@ -463,22 +474,25 @@
         return Reply(status=answer.status, headers=answer.headers, body=body)
 
     def _read_events(self, assignment: Assignment, answer: UpstreamAnswer) -> Iterator[bytes]:
-        """Yield complete events of one attempt as they arrive."""
+        """Yield complete events of one attempt as they arrive.
+
+        :raises AttemptError: if the attempt failed, or its answer is not a stream of events that
+            continues what the caller received.
+        """
         splitter = EventSplitter()
         is_started = False
         unrecorded = 0
         try:
+            if not _is_event_stream(answer):
+                raise EventError("the answer is not a stream of events")
             while data := answer.read(self._read_timeout()):
-                events = splitter.feed(data)
-                if not events:
-                    continue
-                if self.first_received_at is None:
+                chunk, events, error = self._accept(splitter.feed(data))
+                if events and self.first_received_at is None:
                     self.first_received_at = time.monotonic()
-                chunk, error = self._accept(events)
-                if not is_started:
+                if events and not is_started:
                     is_started = True
                     self._forwarder.record_first_event(assignment, answer.load)
-                unrecorded += len(events)
+                unrecorded += events
                 if unrecorded >= RECORD_INTERVAL_EVENTS:
                     self._forwarder.record_events(assignment, unrecorded)
                     unrecorded = 0
@@ -486,22 +500,26 @@
                     yield chunk
                 if error is not None:
                     raise error
-            if splitter.pending:
-                raise EventError("the stream ended within an event")
+            splitter.finish()
+            if not is_started:
+                # Streams have no end marker, so an empty one can't be told from a complete one.
+                raise EventError("the stream ended without an event")
         except EventError as error:
             raise AttemptError(
                 STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault="sequence"
             ) from error
 
-    def _accept(self, events: list[RawEvent]) -> tuple[bytes, EventError | None]:
-        accepted = []
-        for event in events:
+    def _accept(self, blocks: list[bytes]) -> tuple[bytes, int, EventError | None]:
+        """Return the bytes of the blocks before an invalid one, and the number of their events."""
+        accepted: list[bytes] = []
+        events = 0
+        for block in blocks:
             try:
-                self.event_order.accept(event)
+                events += self.event_order.accept(block)
             except EventError as error:
-                return b"".join(accepted), error
-            accepted.append(event.raw)
-        return b"".join(accepted), None
+                return b"".join(accepted), events, error
+            accepted.append(block)
+        return b"".join(accepted), events, None
 
     def _relay_events(
         self, assignment: Assignment, answer: UpstreamAnswer, first: bytes, chunks: Iterator[bytes]
@@ -592,3 +610,9 @@
         reason = f"{error.reason}; {no_retry_reason}"
         code = "late" if is_timed_out else "endpoint-failed"
         return Refusal(error.step, error.peer, reason, code, status, self.ran, 0.5)
+
+
+def _is_event_stream(answer: UpstreamAnswer) -> bool:
+    """Return whether the type of an answer is that of a stream of events, or missing."""
+    types = [value for name, value in answer.headers if name.lower() == "content-type"]
+    return all(value.partition(";")[0].strip().lower() == EVENT_STREAM for value in types)
