Make the decoders of entries, reports and configurations total

Callers saw hosts that followed no later change of the endpoints while one odd entry stood. Cause: the decoders turned one type of exception into a reason; numbers beyond a float, ports such as "²", numbers in place of lists and long digits raised others, which went on to the thread that follows the feed. Values of valid types but out of range (sequence beyond i64, lone surrogates, 0.0.0.0, a key with a line break) got through and failed in later steps.

Change: each field is read with a named bound; entries and reports beyond it are invalid, values of configurations, which the store has accepted, are capped. Reasons are of bounded length.

--- a/catkinhook/addresses.py
+++ b/catkinhook/addresses.py
@@ -2,6 +2,8 @@
 
 import ipaddress
 
+from catkinhook.texts import parse_count
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split ``IP:port`` into the IP address and the port.
@@ -11,6 +13,7 @@
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     ipaddress.ip_address(host)
-    if not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{port!r} is not a port")
-    return host, int(port)
+    number = parse_count(port)
+    if number is None or number > 65535:
+        raise ValueError(f"{port[:20]!r} is not a port")
+    return host, number
--- a/catkinhook/platform/records.py
+++ b/catkinhook/platform/records.py
@@ -5,12 +5,14 @@
 
 import ipaddress
 import json
-import math
+import re
+import reprlib
 from collections.abc import Callable
 from typing import Any
 
 from result import Err, Ok, Result
 
+from catkinhook.addresses import split_address
 from catkinhook.control.sequencedorders import EngineState
 from catkinhook.requests.routetable import (
     CallerLimits,
@@ -22,33 +24,102 @@
     ServiceSpec,
 )
 from catkinhook.state.views import EndpointView
+from catkinhook.texts import is_encodable
 
 _MS = 0.001
 # Default for routes of streams without ``gap_aim_ms``.
 DEFAULT_GAP_S = 0.3
 
+# Bounds of values in records. Any writer may put any value into a row, and one that a later step
+# can't take must not get past the decoder. Entries and reports beyond a bound are invalid;
+# configurations were accepted by the store, so their values are capped instead.
+#
+# The store allows 200 bytes for keys; names also stand in headers and in messages between hosts.
+MAX_NAME_CHARS = 200
+# Models or adapters in one record. Messages between hosts carry them for all engines, and lists in
+# these messages are bounded too.
+MAX_ITEMS = 4096
+# Counts are i32 fields of messages between hosts.
+MAX_COUNT = 2**31 - 1
+# Largest integer that every JSON implementation represents exactly. A holder counts on from it, in
+# an i64 field.
+MAX_SEQUENCE = 2**53 - 1
+# Versions and boot ids are i64 fields of messages between hosts.
+MAX_I64 = 2**63 - 1
+# Timeouts of sockets and locks overflow above 292 years; no request lasts a day.
+MAX_DURATION_MS = 86_400_000.0
+# Sums and products of sizes, rates and weights must remain finite.
+MAX_QUANTITY = 1e12
+# Reasons are written to the log.
+MAX_REASON_CHARS = 300
+
 _STATES = frozenset({"ready", "draining"})
+# Ids of endpoints are sent in a header.
+_ENDPOINT_ID = re.compile(r"[!-~]{1,200}", re.ASCII)
 
 
 class _InvalidRecordError(ValueError):
     """A field is missing or has an invalid value."""
 
 
+def _make_error(field: str, value: Any) -> _InvalidRecordError:
+    # ``reprlib`` bounds length and depth, so that any value can be described.
+    return _InvalidRecordError(f"{field} is {reprlib.repr(value)}")
+
+
 def _read_field(
     record: Any, field: str, expected_type: type | tuple[type, ...], default: Any = None
 ) -> Any:
     value = record.get(field, default) if isinstance(record, dict) else None
-    if isinstance(value, bool) and expected_type is not bool:
-        raise _InvalidRecordError(f"{field} is {value!r}")
-    if value is None or not isinstance(value, expected_type):
-        raise _InvalidRecordError(f"{field} is {value!r}"[:200])
+    is_unexpected_bool = isinstance(value, bool) and expected_type is not bool
+    if value is None or is_unexpected_bool or not isinstance(value, expected_type):
+        raise _make_error(field, value)
+    return value
+
+
+def _read_number(record: Any, field: str, largest: float, default: float | None = None) -> float:
+    value = _read_field(record, field, (int, float), default)
+    # Integers are compared before the conversion, which overflows for large ones.
+    if not 0 <= value <= largest:
+        raise _make_error(field, value)
+    return float(value)
+
+
+def _read_capped(record: Any, field: str, largest: float, default: float | None = None) -> float:
+    """Return a number of the configuration, or ``largest`` if it is larger."""
+    value = _read_field(record, field, (int, float), default)
+    if not value >= 0:
+        raise _make_error(field, value)
+    return float(min(value, largest))
+
+
+def _read_integer(record: Any, field: str, largest: int) -> int:
+    value = _read_field(record, field, int)
+    if not 0 <= value <= largest:
+        raise _make_error(field, value)
     return value
 
 
-def _read_number(record: Any, field: str, default: float | None = None) -> float:
-    value = float(_read_field(record, field, (int, float), default))
-    if not math.isfinite(value) or value < 0:
-        raise _InvalidRecordError(f"{field} is {value!r}")
+def _read_text(record: Any, field: str, default: str | None = None) -> str:
+    value = _read_field(record, field, str, default)
+    if not is_encodable(value):
+        raise _make_error(field, value)
+    return value
+
+
+def _read_list(record: Any, field: str) -> list:
+    """Return a list, empty if the field is absent."""
+    return [] if record.get(field) is None else _read_field(record, field, list)
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_NAME_CHARS and is_encodable(value)
+
+
+def _read_name(record: Any, field: str) -> str:
+    value = _read_field(record, field, str)
+    if not _is_name(value):
+        raise _make_error(field, value)
     return value
 
 
@@ -63,7 +134,10 @@
     try:
         return Ok(decode())
     except _InvalidRecordError as error:
-        return Err(str(error))
+        return Err(str(error)[:MAX_REASON_CHARS])
+    except Exception as error:
+        # A fault of a decoder costs one record, which callers log and count as invalid.
+        return Err(f"unexpected {error!r}"[:MAX_REASON_CHARS])
 
 
 def decode_configuration(raw: bytes) -> Result[RouteTable, str]:
@@ -75,76 +149,91 @@
     services = [_decode_service(entry) for entry in _read_field(record, "services", list)]
     limits = record.get("limits") or {}
     return RouteTable(
-        version=_read_field(record, "version", int),
+        version=_read_integer(record, "version", MAX_I64),
         routes=tuple(_decode_route(entry) for entry in _read_field(record, "routes", list)),
         service_by_name={service.name: service for service in services},
         limits=CallerLimits(
-            header_bytes=int(_read_number(limits, "max_header_bytes", 16384)),
-            body_bytes=int(_read_number(limits, "max_body_bytes", 4 << 20)),
-            idle_s=_read_number(limits, "idle_timeout_ms", 15000) * _MS,
+            header_bytes=_read_capped_count(limits, "max_header_bytes", 16384),
+            body_bytes=_read_capped_count(limits, "max_body_bytes", 4 << 20),
+            idle_s=_read_capped(limits, "idle_timeout_ms", MAX_DURATION_MS, 15000) * _MS,
         ),
     )
 
 
+def _read_capped_count(record: Any, field: str, default: int | None = None) -> int:
+    return int(_read_capped(record, field, MAX_COUNT, default))
+
+
 def _decode_route(record: Any) -> Route:
     kind = _read_field(record, "kind", str)
     if kind == "stream":
         retry_mode = RetryMode.RESUME if record.get("resumable") is True else RetryMode.NEVER
     else:
         retry_mode = RetryMode.ALWAYS if kind == "idempotent" else RetryMode.NEVER
-    split = record.get("traffic_split")
-    if split:
-        weights = tuple((_read_field(s, "service", str), _read_number(s, "weight")) for s in split)
-    else:
-        weights = ((_read_field(record, "service", str), 1.0),)
-    timeout_s = _read_number(record, "timeout_ms") * _MS
-    gap = record.get("gap_aim_ms")
+    timeout_ms = _read_capped(record, "timeout_ms", MAX_DURATION_MS)
+    objective_ms = _read_capped(record, "target_latency_ms", MAX_DURATION_MS, timeout_ms)
+    gap_ms = DEFAULT_GAP_S / _MS
+    if record.get("gap_aim_ms") is not None:
+        gap_ms = _read_capped(record, "gap_aim_ms", MAX_DURATION_MS)
     return Route(
-        name=_read_field(record, "name", str, ""),
-        host=_read_field(record, "host", str),
-        prefix=_read_field(record, "path_prefix", str),
+        name=_read_text(record, "name", ""),
+        host=_read_text(record, "host"),
+        prefix=_read_text(record, "path_prefix"),
         retry_mode=retry_mode,
         is_stream=kind == "stream",
-        timeout_s=timeout_s,
-        objective_s=_read_number(record, "target_latency_ms", timeout_s / _MS) * _MS,
-        gap_s=_read_number(record, "gap_aim_ms") * _MS if gap is not None else DEFAULT_GAP_S,
-        priority=int(_read_number(record, "priority", 0)),
-        max_attempts=max(1, int(_read_number(record, "max_attempts", 1))),
-        weight_by_service=weights,
+        timeout_s=timeout_ms * _MS,
+        objective_s=objective_ms * _MS,
+        gap_s=gap_ms * _MS,
+        priority=_read_capped_count(record, "priority", 0),
+        max_attempts=max(1, _read_capped_count(record, "max_attempts", 1)),
+        weight_by_service=_decode_weights(record),
     )
 
 
+def _decode_weights(record: Any) -> tuple[tuple[str, float], ...]:
+    split = record.get("traffic_split")
+    if not split:
+        return ((_read_text(record, "service"), 1.0),)
+    weights = tuple(
+        (_read_text(part, "service"), _read_capped(part, "weight", MAX_QUANTITY))
+        for part in _read_field(record, "traffic_split", list)
+    )
+    if not sum(weight for _, weight in weights):
+        raise _make_error("traffic_split", split)
+    return weights
+
+
 def _decode_service(record: Any) -> ServiceSpec:
     engine = record.get("engine") if isinstance(record, dict) else None
     return ServiceSpec(
-        name=_read_field(record, "name", str),
-        max_connections=int(_read_number(record, "max_conns", 100)),
-        engine=_decode_engine(engine) if engine else None,
+        name=_read_text(record, "name"),
+        max_connections=_read_capped_count(record, "max_conns", 100),
+        engine=_decode_engine(_read_field(record, "engine", dict)) if engine else None,
     )
 
 
-def _decode_engine(record: Any) -> EngineSpec:
-    models = [_decode_model(entry) for entry in record.get("models") or ()]
+def _decode_engine(record: dict[str, Any]) -> EngineSpec:
+    models = [_decode_model(entry) for entry in _read_list(record, "models")]
     return EngineSpec(
-        slots=int(_read_number(record, "slots")),
-        cache_tokens=int(_read_number(record, "kv_capacity")),
-        memory_mb=_read_number(record, "weights_mb", 0),
-        adapter_slots=int(_read_number(record, "adapter_slots", 0)),
-        loads_per_s=_read_number(record, "loads_per_s", 1),
+        slots=_read_capped_count(record, "slots"),
+        cache_tokens=_read_capped_count(record, "kv_capacity"),
+        memory_mb=_read_capped(record, "weights_mb", MAX_QUANTITY, 0),
+        adapter_slots=_read_capped_count(record, "adapter_slots", 0),
+        loads_per_s=_read_capped(record, "loads_per_s", MAX_QUANTITY, 1),
         model_by_name={model.name: model for model in models},
     )
 
 
 def _decode_model(record: Any) -> ModelSpec:
-    load_s = _read_number(record, "load_s")
+    load_s = _read_capped(record, "load_s", MAX_DURATION_MS * _MS)
     return ModelSpec(
-        name=_read_field(record, "name", str),
-        memory_mb=_read_number(record, "weights_mb"),
+        name=_read_text(record, "name"),
+        memory_mb=_read_capped(record, "weights_mb", MAX_QUANTITY),
         load_s=load_s,
-        disk_load_s=_read_number(record, "disk_s", load_s),
-        memory_load_s=_read_number(record, "warm_s", load_s),
-        adapter_mb=_read_number(record, "adapter_mb", 0),
-        adapters=int(_read_number(record, "adapters", 0)),
+        disk_load_s=_read_capped(record, "disk_s", MAX_DURATION_MS * _MS, load_s),
+        memory_load_s=_read_capped(record, "warm_s", MAX_DURATION_MS * _MS, load_s),
+        adapter_mb=_read_capped(record, "adapter_mb", MAX_QUANTITY, 0),
+        adapters=_read_capped_count(record, "adapters", 0),
     )
 
 
@@ -157,63 +246,70 @@
 
 
 def _decode_endpoint_view(endpoint: str, record: Any) -> EndpointView:
+    if not _ENDPOINT_ID.fullmatch(endpoint):
+        raise _make_error("key", endpoint)
     state = _read_field(record, "state", str)
     if state not in _STATES:
-        raise _InvalidRecordError(f"state is {state!r}")
-    address = _read_field(record, "address", str)
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError as error:
-        raise _InvalidRecordError(f"address is {address!r}") from error
-    if not port.isdigit() or not 0 < int(port) < 65536:
-        raise _InvalidRecordError(f"address is {address!r}")
-    models = record.get("models")
-    loaded = _decode_loaded_items(models) if models is not None else (frozenset(), frozenset())
+        raise _make_error("state", state)
+    is_engine = record.get("models") is not None
+    models, adapters = _decode_loaded_items(record) if is_engine else (frozenset(), frozenset())
     return EndpointView(
         endpoint=endpoint,
-        address=address,
-        service=_read_field(record, "service", str),
-        zone=_read_field(record, "zone", str),
-        kind="plain" if models is None else "engine",
+        address=_decode_address(record),
+        service=_read_name(record, "service"),
+        zone=_read_name(record, "zone"),
+        kind="engine" if is_engine else "plain",
         leaving=state == "draining",
         boot_id=_decode_boot_id(record),
-        models=loaded[0],
-        adapters=loaded[1],
+        models=models,
+        adapters=adapters,
         # The entry's ``sequence`` is not used, since it counts heartbeats instead of orders.
-        slots=int(_read_number(record, "slots")),
+        slots=int(_read_number(record, "slots", MAX_COUNT)),
         **_decode_copies(record),
     )
 
 
+def _decode_address(record: Any) -> str:
+    """Return an address that a connection can be opened to; the platform has IPv4 only."""
+    address = _read_field(record, "address", str)
+    try:
+        host, port = split_address(address)
+        ip = ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise _make_error("address", address) from error
+    # A connection to 0.0.0.0 would reach this host itself.
+    is_unusable = ip.is_unspecified or ip.is_multicast or ip.is_reserved
+    if is_unusable or port == 0 or address != f"{ip}:{port}":
+        raise _make_error("address", address)
+    return address
+
+
 def _decode_boot_id(record: Any) -> str:
     # ``born`` is the start of the endpoint in milliseconds since the epoch.
-    born = record.get("born")
-    if born is None:
-        return ""
-    return str(_read_field(record, "born", int))
+    return "" if record.get("born") is None else str(_read_integer(record, "born", MAX_I64))
 
 
-def _decode_loaded_items(models: Any) -> tuple[frozenset[str], frozenset[str]]:
+def _decode_loaded_items(record: Any) -> tuple[frozenset[str], frozenset[str]]:
     """Return the names of models, and of adapters as ``model/adapter``."""
-    if not isinstance(models, list):
-        raise _InvalidRecordError(f"models is {models!r}"[:200])
-    names = [_read_field(entry, "name", str) for entry in models]
+    models = _read_field(record, "models", list)
+    names = [_read_name(entry, "name") for entry in models]
     adapters = [
         f"{name}/{_decode_adapter_name(adapter)}"
         for name, entry in zip(names, models, strict=True)
-        for adapter in entry.get("adapters") or ()
+        for adapter in _read_list(entry, "adapters")
     ]
+    if max(len(names), len(adapters)) > MAX_ITEMS:
+        raise _make_error("models", models)
     return frozenset(names), frozenset(adapters)
 
 
 def _decode_adapter_name(adapter: Any) -> str:
     # An adapter is either a name or an object with the field ``name``.
-    if isinstance(adapter, dict):
-        adapter = adapter.get("name")
-    if not isinstance(adapter, str):
-        raise _InvalidRecordError(f"an adapter is {adapter!r}"[:200])
-    return adapter.partition("@")[0]
+    full_name = adapter.get("name") if isinstance(adapter, dict) else adapter
+    name = full_name.partition("@")[0] if isinstance(full_name, str) else full_name
+    if not _is_name(name):
+        raise _make_error("an adapter", adapter)
+    return name
 
 
 def _decode_copies(record: Any) -> dict[str, frozenset[str]]:
@@ -221,10 +317,15 @@
     placement = record.get("placement")
     if not isinstance(placement, dict):
         return {}
-    return {
-        name: frozenset(model for model in placement.get(name) or () if isinstance(model, str))
-        for name in ("in_memory", "on_disk")
-    }
+    return {name: _read_names(placement, name) for name in ("in_memory", "on_disk")}
+
+
+def _read_names(record: dict[str, Any], field: str) -> frozenset[str]:
+    """Return the names in a list, without elements that are not names."""
+    values = _read_list(record, field)
+    if len(values) > MAX_ITEMS:
+        raise _make_error(field, values)
+    return frozenset(value for value in values if _is_name(value))
 
 
 def decode_report(raw: bytes) -> Result[EngineState, str]:
@@ -233,17 +334,16 @@
 
 
 def _decode_engine_state(record: Any) -> EngineState:
-    models, adapters = _decode_loaded_items(_read_field(record, "models", list))
-    incoming = record.get("incoming") or ()
+    models, adapters = _decode_loaded_items(record)
     return EngineState(
         boot_id=_decode_boot_id(record),
-        sequence=_read_field(record, "sequence", int),
+        sequence=_read_integer(record, "sequence", MAX_SEQUENCE),
         busy=_read_field(record, "busy", bool),
         models=models,
         adapters=adapters,
         # The format is MODEL/NAME@VERSION.
-        incoming=frozenset(name.partition("@")[0] for name in incoming if isinstance(name, str)),
-        running=int(_read_number(record, "active", 0)),
-        waiting=int(_read_number(record, "queued", 0)),
+        incoming=frozenset(name.partition("@")[0] for name in _read_names(record, "incoming")),
+        running=int(_read_number(record, "active", MAX_COUNT, 0)),
+        waiting=int(_read_number(record, "queued", MAX_COUNT, 0)),
         **_decode_copies(record),
     )
