Take a lease row that can't be decoded as a free lease

A row of another writer in place of the lease (a rate of 401 digits, deep nesting) made each read of the lease fail, so that no host acquired it and no order was sent while the row stood.

--- a/catkinhook/control/orderlease.py
+++ b/catkinhook/control/orderlease.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from catkinhook.texts import is_encodable
+
 # Share of the lease time after which the holder renews the lease.
 RENEW_SHARE = 1 / 3
 # Time before the expiry at which the holder stops sending orders, to allow for an order in flight.
@@ -14,6 +16,10 @@
 # Time after the expiry for which other hosts still don't acquire the lease.
 ACQUIRE_MARGIN_S = 0.3
 MAX_ROW_BYTES = 4096
+# Holders count on from the fencing token in the row, and send it in i64 fields.
+MAX_FENCE = 2**53 - 1
+# Highest rate in the row that is believed; sums of rates must remain finite.
+MAX_RATE = 1e6
 # Time after a failed renewal for which the holder attributes the expiry of its lease to a store
 # outage and not to a suspension of its own host.
 RENEWAL_FAILURE_TTL_S = 2.5
@@ -61,16 +67,22 @@
     try:
         fields = json.loads(value)
         record = LeaseRecord(**fields)
-    except (ValueError, TypeError):
+    except (ValueError, TypeError, RecursionError):
         return None
-    strings = (record.node, record.address, record.nonce)
-    is_valid = all(isinstance(text, str) for text in strings) and isinstance(record.fence, int)
-    if not is_valid or not isinstance(record.rates, dict):
+    texts = (record.node, record.address, record.nonce)
+    is_valid = (
+        all(isinstance(text, str) and is_encodable(text) for text in texts)
+        and type(record.fence) is int
+        and 0 <= record.fence <= MAX_FENCE
+        and isinstance(record.released, bool)
+        and isinstance(record.rates, dict)
+    )
+    if not is_valid:
         return None
     rates = {
         name: float(rate)
         for name, rate in record.rates.items()
-        if isinstance(rate, (int, float)) and math.isfinite(rate) and rate >= 0
+        if isinstance(rate, (int, float)) and 0 <= rate <= MAX_RATE
     }
     return attrs.evolve(record, rates=rates)
 
--- a/tests/test_orderlease.py
+++ b/tests/test_orderlease.py
@@ -1,5 +1,6 @@
 """The order lease: one holder at a time despite suspensions, outages and lost answers."""
 
+import json
 import unittest
 
 import attrs
@@ -15,7 +16,16 @@
 from catkinhook.control.orderleasemanager import LeaseManager
 from catkinhook.errors import Effect, StoreConflict, StoreError
 from catkinhook.operations.decisionlog import DecisionLog
+from catkinhook.peering.hostmessages import HolderView
 from catkinhook.state.storeinterfaces import VersionedRow
+from tests.odd_values import (
+    MAX_I64,
+    ODD_ROWS,
+    ODD_VALUES,
+    TOO_NESTED,
+    encode_on_wire,
+    replace_each_part,
+)
 
 LEASE_S = 3.0
 
@@ -239,6 +249,53 @@
         self.assertIs(lease.next_action(1.0, False), LeaseAction.ACQUIRE)
         self.assertEqual(lease.make_record(False).fence, 8)
 
+    def check_decoded(self, value: bytes) -> None:
+        """Check that a row is no lease, or one that the next holder can pass on."""
+        record = decode_lease(value)
+        if record is None:
+            return
+        self.assertTrue(0 <= record.fence < MAX_I64)
+        self.assertIs(type(record.released), bool)
+        (record.node + record.address + record.nonce).encode()
+        self.assertTrue(all(0 <= rate <= 1e9 for rate in record.rates.values()))
+        self.assertEqual(decode_lease(encode_lease(record)), record)
+        encode_on_wire(HolderView(node="h", fence=record.fence + 1, holds=True))
+
+    def test_row_with_any_odd_field(self) -> None:
+        """Guards against an odd row that keeps all hosts from acquiring the lease."""
+        record = LeaseRecord(node="h", address="10.0.0.1:1", fence=3, nonce="n", rates={"m": 1.5})
+        for row in ODD_ROWS:
+            with self.subTest(row=row[:80]):
+                self.check_decoded(row)
+        for value in ODD_VALUES:
+            for text in replace_each_part(json.loads(encode_lease(record)), value):
+                with self.subTest(value=value[:60], text=text[:200]):
+                    self.check_decoded(text.encode())
+
+    def test_odd_row_is_replaced(self) -> None:
+        """Guards against hosts without a holder for as long as another writer's row stands."""
+        for value in (TOO_NESTED[:4000], '{"rates": {"m": 1%s}}' % ("0" * 400)):
+            fields = {"node": "x", "address": "x:1", "fence": 1, "nonce": "x"}
+            if value.startswith("{"):
+                value = json.dumps(fields)[:-1] + ", " + value[1:]
+            row = FakeRow()
+            row.row = VersionedRow(5, value.encode())
+            clock = [0.0]
+            lease = OrderLease("a", "a:1", LEASE_S)
+            manager = LeaseManager(
+                lease,
+                row,
+                lambda: False,
+                lambda fence, rates: None,
+                dict,
+                DecisionLog("a"),
+                lambda clock=clock: clock[0],
+            )
+            for _ in range(20):
+                clock[0] += 0.5
+                manager.step()
+            self.assertTrue(manager.is_held())
+
 
 if __name__ == "__main__":
     unittest.main()
