Keep the threads that follow the store through any error

A host could be up and follow no change of the endpoints or the configuration. Cause: only applying an answer of the feed was guarded; what reading the answer raised, or the entries of a peer while the store can't be reached, ended the thread without a log line. Now the whole step is guarded, logged and counted (feed, "failed"), and repeated after the retry interval.

--- a/catkinhook/state/storewatches.py
+++ b/catkinhook/state/storewatches.py
@@ -70,20 +70,26 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
-            result = self._feed.read_changes(self._after, MAX_WAIT_S)
-            if result.is_err():
-                self._record_failure(result.unwrap_err())
-                self._stop.wait(RETRY_INTERVAL_S)
-                continue
-            self._record_contact()
-            changes = result.unwrap()
             try:
-                self._apply(changes)
+                pause_s = self._poll()
             except Exception as error:
-                # Invalid rows of other writers must not stop the watcher.
+                # The decoders reject invalid rows, so this is a fault of the host's own code. It
+                # must not end the thread, which alone follows the feed.
                 self._log.record("feed", outcome=f"failed: {error!r}", feed=self._name)
-            self._after = changes.version
-            self._stop.wait(self._poll_interval_s)
+                pause_s = RETRY_INTERVAL_S
+            self._stop.wait(pause_s)
+
+    def _poll(self) -> float:
+        """Read and apply changes once; return the seconds until the next call."""
+        result = self._feed.read_changes(self._after, MAX_WAIT_S)
+        if result.is_err():
+            self._record_failure(result.unwrap_err())
+            return RETRY_INTERVAL_S
+        self._record_contact()
+        changes = result.unwrap()
+        self._after = changes.version
+        self._apply(changes)
+        return self._poll_interval_s
 
     def _record_failure(self, error: StoreError) -> None:
         if not self._is_unreachable:
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 from result import Err, Ok, Result
 
@@ -25,11 +26,13 @@
     """Change feed that returns prepared answers."""
 
     def __init__(self) -> None:
-        self.answers: list[TableChanges | None] = []
+        self.answers: list[TableChanges | Exception | None] = []
 
     def read_changes(self, after: int | None, wait_s: float) -> Result[TableChanges, StoreError]:
-        """Return the next answer, or an error for None."""
+        """Return the next answer, raise it if it is an exception, or return an error for None."""
         answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
         return Err(StoreError("store", "", "is unreachable")) if answer is None else Ok(answer)
 
 
@@ -91,7 +94,7 @@
         self.assertLessEqual(pauses[0], DRAIN_S / 3)
         self.assertGreaterEqual(pauses[0], DRAIN_S / 4)
 
-    def run_answers(self, *answers: TableChanges | None) -> None:
+    def run_answers(self, *answers: TableChanges | Exception | None) -> None:
         """Run the loop until it has processed these answers of the store."""
         self.feed.answers = list(answers)
 
@@ -144,6 +147,16 @@
         self.assertEqual(self.watch.entries.version, 11)
         self.assertEqual(set(self.watch.entries.value_by_id), {"i-b"})
 
+    def test_thread_survives_any_error(self) -> None:
+        """Guards against a host that is up and follows no change of the endpoints.
+
+        What reading an answer or a peer's entries raised ended the thread without a log line.
+        """
+        self.run_answers(RecursionError("nested too deeply"))
+        self.watch._fetch_from_peers = mock.Mock(side_effect=TypeError("no version"))
+        self.run_answers(None, TableChanges(10, {"i-a": make_entry("i-a")}, is_full=True))
+        self.assertEqual(set(self.views_by_id), {"i-a"})
+
 
 if __name__ == "__main__":
     unittest.main()
