Read odd rows and answers of the store without an exception

A row of another part with the key of an endpoint replaced or removed its entry on hosts that ran, though not on those that started later, since the feed returns rows of all parts and the list only those of the empty one. Deeply nested answers, rows in place of a list and versions beyond i64 raised exceptions or got through to the messages between hosts. A page that doesn't advance was read for ever.

Rows that aren't rows of the empty part are left out, with a log line for each change (feed, "row ignored"); versions are i64; reasons are of bounded length.

--- a/catkinhook/platform/storeclient.py
+++ b/catkinhook/platform/storeclient.py
@@ -2,7 +2,7 @@
 
 import base64
 import binascii
-import json
+import reprlib
 import socket
 from typing import Any
 
@@ -11,6 +11,7 @@
 
 from catkinhook.errors import Effect, StoreConflict, StoreError
 from catkinhook.state.storeinterfaces import TableChanges, VersionedRow
+from catkinhook.texts import is_encodable
 
 STEP = "store"
 # The store usually responds in about 4 ms; it is considered unavailable after this timeout.
@@ -21,6 +22,8 @@
 TCP_USER_TIMEOUT_MS = 1500
 # Rows requested in one page; this is the maximum that the store allows.
 PAGE_ROWS = 500
+# Versions are sent to other hosts in i64 fields.
+MAX_VERSION = 2**63 - 1
 
 _OK, _CONFLICT, _HISTORY_EXPIRED = 200, 412, 410
 # Statuses of responses to requests that the store has not executed.
@@ -70,7 +73,7 @@
             body = answer.json() if answer.data else {}
         except urllib3.exceptions.NewConnectionError as error:
             return Err(self._error(str(error), Effect.NONE))
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError, RecursionError) as error:
             return Err(self._error(f"{method} {path} failed: {error}", Effect.UNKNOWN))
         if answer.status in _NOT_EXECUTED_STATUSES and answer.status != _HISTORY_EXPIRED:
             reason = f"{method} {path} was answered with status {answer.status}"
@@ -105,6 +108,7 @@
     def _read_all(self) -> Result[TableChanges, StoreError]:
         value_by_key: dict[str, bytes] = {}
         version: int | None = None
+        ignored: tuple[str, ...] = ()
         start_key = ""
         while True:
             fields = {"table": self._table, "part": "", "limit": PAGE_ROWS}
@@ -122,10 +126,13 @@
             # Pages may be read at different versions. The first page's version is kept, so that the
             # feed then returns all changes since that page.
             version = changes.version if version is None else version
-            if not body.get("more_pages") or not changes.value_by_key:
-                return Ok(TableChanges(version, value_by_key, is_full=True))
+            ignored += changes.ignored
+            last_key = max(changes.value_by_key, default="")
+            # A page that doesn't advance would be read again and again.
+            if not body.get("more_pages") or last_key < start_key or not last_key:
+                return Ok(TableChanges(version, value_by_key, is_full=True, ignored=ignored))
             # The next key in byte order after the last one of this page.
-            start_key = max(changes.value_by_key) + "\0"
+            start_key = last_key + "\0"
 
 
 class TableRow:
@@ -164,42 +171,56 @@
             reason = f"the row has version {current} instead of {expected}"
             return Err(StoreConflict(STEP, "", reason, {key: current}))
         version = body.get("ver")
-        if not isinstance(version, int):
+        if not _is_version(version):
             return Err(StoreError(STEP, "", "the answer has no version", Effect.UNKNOWN))
         return Ok(version)
 
     def _find_row(self, body: dict) -> VersionedRow:
-        for row in body.get("rows") or ():
-            if isinstance(row, dict) and row.get("key") == self._row_id["key"]:
-                value, version = _decode_value(row), row.get("ver")
-                if isinstance(version, int) and version > 0:
-                    return VersionedRow(version, value if value is not None else b"")
+        rows = body.get("rows")
+        for row in rows if isinstance(rows, list) else ():
+            if _find_key(row) == self._row_id["key"] and _is_version(row.get("ver")):
+                return VersionedRow(row["ver"], _decode_value(row))
         return VersionedRow(0, b"")
 
 
 def _decode_changes(body: dict, is_full: bool) -> Result[TableChanges, StoreError]:
     version, rows = body.get("ver"), body.get("rows")
-    if not isinstance(version, int) or not isinstance(rows, list):
-        return Err(StoreError(STEP, "", f"the answer has no valid rows: {json.dumps(body)[:200]}"))
+    if not _is_version(version) or not isinstance(rows, list):
+        reason = f"the answer has no valid rows: {reprlib.repr(body)}"
+        return Err(StoreError(STEP, "", reason))
     value_by_key: dict[str, bytes] = {}
     removed: set[str] = set()
+    ignored: list[str] = []
     for row in rows:
-        key = row.get("key") if isinstance(row, dict) else None
-        if not isinstance(key, str):
-            continue
-        value = _decode_value(row)
+        key = _find_key(row)
+        if key is None:
+            ignored.append(reprlib.repr(row))
         # Rows are in the order of their changes, so later ones override earlier ones.
-        if row.get("tombstone"):
+        elif row.get("tombstone"):
             value_by_key.pop(key, None)
             removed.add(key)
         else:
             removed.discard(key)
-            value_by_key[key] = value if value is not None else b""
-    return Ok(TableChanges(version, value_by_key, frozenset(removed), is_full))
+            value_by_key[key] = _decode_value(row)
+    return Ok(TableChanges(version, value_by_key, frozenset(removed), is_full, tuple(ignored)))
 
 
-def _decode_value(row: dict) -> bytes | None:
+def _is_version(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_VERSION
+
+
+def _find_key(row: Any) -> str | None:
+    """Return the key of a row, or None if it isn't a row of the empty part.
+
+    A feed also returns the rows of other parts, whose keys may be those of rows of the empty part.
+    """
+    key = row.get("key") if isinstance(row, dict) and row.get("part", "") == "" else None
+    return key if isinstance(key, str) and is_encodable(key) else None
+
+
+def _decode_value(row: dict) -> bytes:
+    """Return the value of a row, empty if it can't be decoded."""
     try:
         return base64.b64decode(row.get("value") or "", validate=True)
     except (binascii.Error, TypeError, ValueError):
-        return None
+        return b""
--- a/catkinhook/state/storeinterfaces.py
+++ b/catkinhook/state/storeinterfaces.py
@@ -16,12 +16,14 @@
     :ivar value_by_key: values of rows that were written.
     :ivar removed: keys of rows that were deleted.
     :ivar is_full: true when ``value_by_key`` has all rows of the table.
+    :ivar ignored: descriptions of rows that were left out because they are not rows of this table.
     """
 
     version: int
     value_by_key: dict[str, bytes]
     removed: frozenset[str] = frozenset()
     is_full: bool = False
+    ignored: tuple[str, ...] = ()
 
 
 class ChangeFeed(Protocol):
--- a/catkinhook/state/storewatches.py
+++ b/catkinhook/state/storewatches.py
@@ -88,6 +88,8 @@
         self._record_contact()
         changes = result.unwrap()
         self._after = changes.version
+        for row in changes.ignored:
+            self._log.record("feed", outcome=f"row ignored: {row}", feed=self._name)
         self._apply(changes)
         return self._poll_interval_s
 
