Use no endpoint by an entry that became invalid

A host that knew the endpoint kept it with its earlier state, one that started later didn't know it. Now the endpoint is removed until its entry can be read again. The log line for an odd entry is written once for each value: before, it was written for the first odd value of an id only, and ids were kept for ever.

Evidence: test_odd_entry_names_no_endpoint failed with "'i-odd' unexpectedly found", test_odd_entry_is_logged_when_it_changes with "['unusable'] != ['unusable', 'unusable']".

--- a/catkinhook/state/storewatches.py
+++ b/catkinhook/state/storewatches.py
@@ -232,7 +232,7 @@
         self._fetch_from_peers = fetch_from_peers
         self._table = EndpointTable()
         self._value_by_id: dict[str, bytes] = {}
-        self._invalid_ids: set[str] = set()
+        self._invalid_value_by_id: dict[str, bytes] = {}
         self.entries = EndpointEntrySet(version=0, value_by_id={})
         self.is_loaded = False
 
@@ -252,10 +252,12 @@
         now = time.monotonic()
         removed = set(changes.removed)
         if changes.is_full:
-            removed |= self._table.ids() - set(changes.value_by_key)
+            known = self._table.ids() | set(self._invalid_value_by_id)
+            removed |= known - set(changes.value_by_key)
         grace_until = self._recovered_at + EXPIRY_GRACE_S
         for endpoint in removed:
             self._table.remove(endpoint, grace_until if grace_until > now else None)
+            self._invalid_value_by_id.pop(endpoint, None)
             self._log.record("endpoint", outcome="removed", endpoint=endpoint)
         previous_views = self._table.views()
         for endpoint, value in changes.value_by_key.items():
@@ -273,11 +275,14 @@
     def _apply_entry(self, endpoint: str, value: bytes, previous_view: EndpointView | None) -> None:
         decoded = self._decode(endpoint, value)
         if decoded.is_err():
-            if endpoint not in self._invalid_ids:
+            # Such an entry names no endpoint to use, even if an earlier one did.
+            self._table.remove(endpoint, None)
+            if self._invalid_value_by_id.get(endpoint) != value:
                 reason = decoded.unwrap_err()
                 self._log.record("endpoint", outcome=f"unusable: {reason}", endpoint=endpoint)
-                self._invalid_ids.add(endpoint)
+                self._invalid_value_by_id[endpoint] = value
             return
+        self._invalid_value_by_id.pop(endpoint, None)
         view = decoded.unwrap()
         # If a heartbeat changes nothing, the previous object is kept, because consumers compare
         # views by identity.
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -12,6 +12,7 @@
 from catkinhook.state.storeinterfaces import TableChanges
 from catkinhook.state.storewatches import EndpointEntrySet, EndpointWatch
 from catkinhook.state.views import EndpointView
+from tests.odd_values import ODD_ROWS
 from tests.platform_fakes import FakeEndpoint
 
 DRAIN_S = 3.0
@@ -157,6 +158,44 @@
         self.run_answers(None, TableChanges(10, {"i-a": make_entry("i-a")}, is_full=True))
         self.assertEqual(set(self.views_by_id), {"i-a"})
 
+    def run_entries(self, *values: bytes) -> list[str]:
+        """Apply values of one entry in turn; return the outcomes of the lines about it."""
+        with mock.patch.object(self.watch._log, "record") as record:
+            for version, value in enumerate(values, 20):
+                self.run_answers(TableChanges(version, {"i-odd": value}))
+        return [call.kwargs["outcome"].partition(":")[0] for call in record.call_args_list]
+
+    def test_odd_entry_costs_only_itself(self) -> None:
+        """Guards against an odd entry that keeps a host from following the other entries."""
+        sound = {name: make_entry(name) for name in ("i-a", "i-z")}
+        for value in ODD_ROWS:
+            with self.subTest(value=value[:60]):
+                odd = {"i-a": sound["i-a"], "i-odd": value, "i-z": sound["i-z"]}
+                self.run_answers(TableChanges(10, odd, is_full=True))
+                self.assertEqual(set(self.views_by_id), {"i-a", "i-z"})
+                leaving = {"i-odd": value, "i-z": make_entry("i-z", state="draining")}
+                self.run_answers(TableChanges(11, leaving))
+                self.assertTrue(self.views_by_id["i-z"].leaving)
+
+    def test_odd_entry_names_no_endpoint(self) -> None:
+        """Guards against use of an endpoint by an entry that is no longer in the store.
+
+        A host that started after the odd entry didn't know the endpoint, one that ran used it on.
+        """
+        self.run_entries(make_entry("i-odd"), b"{")
+        self.assertNotIn("i-odd", self.views_by_id)
+        self.assertNotIn("i-odd", self.watch.entries.value_by_id)
+        self.run_entries(make_entry("i-odd"))
+        self.assertIn("i-odd", self.views_by_id)
+
+    def test_odd_entry_is_logged_when_it_changes(self) -> None:
+        """Guards against a log line for each poll, and against none for a later odd entry."""
+        self.assertEqual(self.run_entries(b"{", b"{", b"[", b"["), ["unusable", "unusable"])
+        self.assertEqual(self.run_entries(make_entry("i-odd"), b"["), ["ready", "unusable"])
+        self.run_answers(TableChanges(40, {}, is_full=True))
+        self.assertFalse(self.watch._invalid_value_by_id)
+        self.assertEqual(self.run_entries(b"["), ["unusable"])
+
 
 if __name__ == "__main__":
     unittest.main()
