--- a/tests/hostcase.py
+++ b/tests/hostcase.py
@@ -40,7 +40,12 @@
 
 
 class HostCase(unittest.TestCase):
-    """One host with two engines and two plain endpoints."""
+    """One host with two engines and two plain endpoints.
+
+    :cvar bounds: bounds in the host's settings.
+    """
+
+    bounds = Bounds(lease_s=1.0, grace_s=4.0)
 
     def setUp(self) -> None:
         self.store = FakeStore()
@@ -63,7 +68,7 @@
             peer_address=f"127.0.0.1:{find_port()}",
             seeds=(),
             store_address=self.store.address,
-            bounds=Bounds(lease_s=1.0, grace_s=4.0),
+            bounds=self.bounds,
         )
         self.host = Host(self.settings, make_platform(self.settings))
         self.host.kernel.start()
