Read counts in headers from ASCII digits only

A caller got 500 for Last-Event-Id or Token-Usage of "²", or for that text in the load, length or idle timeout of an endpoint's answer: str.isdigit accepts more texts than int converts. A load of 400 digits was believed, and each later choice of that endpoint overflowed a float. parse_count takes up to 18 ASCII digits.

Evidence: test_texts failed with "ValueError: invalid literal for int() with base 10: '²'", "ValueError: Exceeds the limit (4300 digits) for integer string conversion" and a load of 400 digits that is not None.

--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -18,11 +18,14 @@
 from catkinhook.requests.forwarding import CallerDisconnectedError, Forwarder, Reply
 from catkinhook.requests.routedrequest import DEFAULT_OUTPUT_TOKENS, RoutedRequest
 from catkinhook.requests.routetable import Route, RouteTable
+from catkinhook.texts import parse_count
 from catkinhook.wsgiserver import PARSED_REQUEST
 
 STEP = "front"
 # Default deadline of requests, and upper limit on the deadlines that callers send.
 MAX_DEADLINE_S = 120.0
+# Larger token counts of a request are not believed.
+MAX_TOKENS = 10**9 - 1
 
 
 @attrs.frozen(kw_only=True)
@@ -235,15 +238,14 @@
 
 
 def _parse_last_event_id(inbound: _InboundRequest) -> int | None:
-    text = inbound.value_by_name.get(protocolnames.LAST_EVENT_ID.lower(), "")
-    return int(text) if text.isdigit() else None
+    return parse_count(inbound.value_by_name.get(protocolnames.LAST_EVENT_ID.lower(), ""))
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 2 or not all(part.isdigit() and len(part) < 10 for part in parts):
+    counts = [parse_count(part.strip()) for part in text.split(",")]
+    if len(counts) != 2 or any(count is None or count > MAX_TOKENS for count in counts):
         return 0, DEFAULT_OUTPUT_TOKENS
-    return int(parts[0]), int(parts[1])
+    return counts[0], counts[1]
 
 
 def _parse_deadline_s(text: str) -> float:
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -19,6 +19,7 @@
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
+from catkinhook.texts import parse_count
 
 STEP = "upstream"
 CONNECT_TIMEOUT_S = 0.5
@@ -222,9 +223,9 @@
         elif self.status in _BODILESS:
             self._is_ended = True
         elif (length := get("Content-Length")) is not None:
-            if not length.isdigit():
+            self._bytes_left = parse_count(length)
+            if self._bytes_left is None:
                 raise self._error("sent an answer of unknown length", fault="unframed")
-            self._bytes_left = int(length)
             self._is_ended = self._bytes_left == 0
         self._take_buffered()
 
@@ -358,15 +359,14 @@
 
 
 def _parse_load(text: str) -> tuple[int, int] | None:
-    parts = text.split(",")
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
-        return None
-    return int(parts[0]), int(parts[1])
+    counts = [parse_count(part.strip()) for part in text.split(",")[:2]]
+    return None if len(counts) < 2 or None in counts else (counts[0], counts[1])
 
 
 def _parse_idle_limit(text: str) -> float:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return max(0.0, int(value) - IDLE_MARGIN_S)
+        seconds = parse_count(value) if name.lower() == "timeout" else None
+        if seconds is not None:
+            return max(0.0, seconds - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
--- a/catkinhook/requests/callrunner.py
+++ b/catkinhook/requests/callrunner.py
@@ -26,6 +26,7 @@
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.pump import Pump
 from catkinhook.requests.relay import StreamRelay, render_error
+from catkinhook.texts import parse_count
 
 STEP = "calls"
 EVENT_STREAM = "text/event-stream"
@@ -449,9 +450,9 @@
 
 
 def _read_load(head: ResponseHead) -> tuple[int, int] | None:
-    running = head.headers.get("x-engine-running", "")
-    waiting = head.headers.get("x-engine-waiting", "")
-    return (int(running), int(waiting)) if running.isdigit() and waiting.isdigit() else None
+    running = parse_count(head.headers.get("x-engine-running", ""))
+    waiting = parse_count(head.headers.get("x-engine-waiting", ""))
+    return None if running is None or waiting is None else (running, waiting)
 
 
 def _check_status(attempt: Attempt, head: ResponseHead) -> None:
--- a/catkinhook/texts.py
+++ b/catkinhook/texts.py
@@ -1,7 +1,7 @@
 """Checks of text from outside that code must not assume to be well-formed."""
 
-# Digits of the largest count that is read from text; the result fits into 32 bits.
-MAX_COUNT_DIGITS = 9
+# Digits of the largest count that is read from text; the result fits into 64 bits and a float.
+MAX_COUNT_DIGITS = 18
 
 
 def is_encodable(text: str) -> bool:
