Cap numbers in messages between hosts at the range of their fields

The sum of the requests that hosts report, or an estimated wait, beyond an i32 field made the answers of the holder to all hosts fail as long as it stood. Such numbers are capped when a message is encoded.

Evidence: test_view_with_sums_out_of_range failed with "OverflowError: cannot convert float infinity to integer".

--- a/catkinhook/peering/hostmessages.py
+++ b/catkinhook/peering/hostmessages.py
@@ -5,7 +5,12 @@
 import attrs
 
 from catkinhook.control.enginerecords import Demand, EngineRecord
-from catkinhook.peering.thriftfields import decode_suspects, encode_suspects, require_fields
+from catkinhook.peering.thriftfields import (
+    decode_suspects,
+    encode_count,
+    encode_suspects,
+    require_fields,
+)
 from catkinhook.requests.suspects import SuspectEvent
 from catkinhook.state.gatewayreports import Suspect, make_suspect_events
 from catkinhook.thrift_hosts import ttypes
@@ -110,15 +115,15 @@
             ttypes.ItemDemand(
                 service_name=service,
                 item=item,
-                rate=round(demand.rate * RATE_SCALE),
-                unmet=round(demand.unmet * RATE_SCALE),
-                waiting=demand.waiting,
-                running=demand.running,
+                rate=encode_count(demand.rate * RATE_SCALE),
+                unmet=encode_count(demand.unmet * RATE_SCALE),
+                waiting=encode_count(demand.waiting),
+                running=encode_count(demand.running),
             )
             for (service, item), demand in report.demand_by_item.items()
         ],
         uses=[
-            ttypes.EndpointUse(endpoint=endpoint, running=running, model=model)
+            ttypes.EndpointUse(endpoint=endpoint, running=encode_count(running), model=model)
             for (endpoint, model), running in report.running_by_use.items()
         ],
         suspects=_encode_events(report.suspects, now),
@@ -175,7 +180,7 @@
             for holding in view.holdings
         ],
         expected=[
-            ttypes.ExpectedItem(service_name=service, item=item, wait_ms=int(wait * 1000))
+            ttypes.ExpectedItem(service_name=service, item=item, wait_ms=encode_count(wait * 1000))
             for (service, item), wait in view.wait_by_item.items()
         ],
         addresses=list(view.addresses),
@@ -184,7 +189,7 @@
         lease_version=view.lease_version,
         revision=view.revision,
         uses=[
-            ttypes.EndpointUse(endpoint=endpoint, running=running, model="")
+            ttypes.EndpointUse(endpoint=endpoint, running=encode_count(running), model="")
             for endpoint, running in view.running_by_id.items()
         ],
     )
--- a/catkinhook/peering/thriftfields.py
+++ b/catkinhook/peering/thriftfields.py
@@ -41,9 +41,14 @@
     return ttypes.Refused(error.step, error.peer, error.reason)
 
 
+def encode_count(value: float) -> int:
+    """Return a number as an i32 field, capped; one field out of range fails the whole message."""
+    return round(min(_MAX_I32, max(0, value)))
+
+
 def encode_age(at: float, now: float) -> int:
     """Convert a time on the local clock to an age in milliseconds for the wire."""
-    return min(_MAX_I32, max(0, round((now - at) * MS_PER_S)))
+    return encode_count((now - at) * MS_PER_S)
 
 
 def decode_age(age: int, now: float) -> float:
--- a/tests/test_holderlink.py
+++ b/tests/test_holderlink.py
@@ -8,6 +8,7 @@
 
 import attrs
 from result import Err, Ok, Result
+from thrift.transport.TTransport import TMemoryBuffer
 
 from catkinhook.clocks import monotonic
 from catkinhook.control.ordercoordinator import EXCHANGE_INTERVAL_S
@@ -23,11 +24,13 @@
     choose_exchange_interval,
     fetch_configuration,
 )
-from catkinhook.peering.hostmessages import HolderView, Holding
+from catkinhook.peering.hostmessages import HolderView, Holding, decode_view
+from catkinhook.peering.peers import COMPACT_PROTOCOL
 from catkinhook.platform.records import decode_endpoint
 from catkinhook.requests.hostscheduler import Scheduler
 from catkinhook.stateactor import StateActor
 from catkinhook.thrift_hosts import ttypes
+from tests.odd_values import MAX_I32, encode_on_wire
 from tests.platform_fakes import FakeEndpoint
 
 
@@ -180,5 +183,28 @@
         self.assertGreater(len(set(pool.queried)), 30)
 
 
+class MessageBoundsTest(unittest.TestCase):
+    """Numbers in messages that the fields of the messages can't hold."""
+
+    def test_view_with_sums_out_of_range(self) -> None:
+        """Guards against a holder whose answers to all hosts fail for one number.
+
+        The sum of the requests that hosts report, or a wait, may exceed an i32 field.
+        """
+        view = HolderView(
+            node="h",
+            fence=1,
+            holds=True,
+            wait_by_item={("s", "m"): 1e9, ("s", "n"): float("inf"), ("s", "o"): 0.25},
+            running_by_id={"i-e": 2 * MAX_I32, "i-f": 3},
+        )
+        struct = ttypes.HolderView()
+        struct.read(COMPACT_PROTOCOL.getProtocol(TMemoryBuffer(encode_on_wire(view))))
+        decoded = decode_view(struct, 0.0)
+        self.assertEqual(decoded.running_by_id, {"i-e": MAX_I32, "i-f": 3})
+        self.assertEqual(decoded.wait_by_item["s", "o"], 0.25)
+        self.assertEqual(decoded.wait_by_item["s", "n"], MAX_I32 / 1000)
+
+
 if __name__ == "__main__":
     unittest.main()
