Bound the memory that decoding one record takes

A host that read one entry of 60,855 bytes, a model with a name of 30,000 characters and 5,000 adapters, grew from 38 MB to 185 MB, since each adapter is kept with the name of its model. Machines of the grown sites are ended from 160 MB on, and again after each start, as the list is read again. The bound on names already refuses that entry; the bound on adapters is now checked before the names are joined.

--- a/catkinhook/platform/records.py
+++ b/catkinhook/platform/records.py
@@ -293,14 +293,16 @@
     """Return the names of models, and of adapters as ``model/adapter``."""
     models = _read_field(record, "models", list)
     names = [_read_name(entry, "name") for entry in models]
-    adapters = [
+    adapters_by_index = [_read_list(entry, "adapters") for entry in models]
+    # Checked before the names are joined, which multiplies the memory that a record takes.
+    if max(len(names), sum(map(len, adapters_by_index))) > MAX_ITEMS:
+        raise _make_error("models", models)
+    items = [
         f"{name}/{_decode_adapter_name(adapter)}"
-        for name, entry in zip(names, models, strict=True)
-        for adapter in _read_list(entry, "adapters")
+        for name, adapters in zip(names, adapters_by_index, strict=True)
+        for adapter in adapters
     ]
-    if max(len(names), len(adapters)) > MAX_ITEMS:
-        raise _make_error("models", models)
-    return frozenset(names), frozenset(adapters)
+    return frozenset(names), frozenset(items)
 
 
 def _decode_adapter_name(adapter: Any) -> str:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -3,8 +3,10 @@
 import json
 import random
 import threading
+import tracemalloc
 import unittest
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from hypothesis import given, settings
@@ -201,6 +203,27 @@
         kind, record = kind_and_record
         self.check_raw(kind, rng.choice(list(replace_each_part(record, value))).encode())
 
+    def test_decoding_takes_little_memory(self) -> None:
+        """Guards against a host that exceeds its memory limit, and is ended, for one odd row.
+
+        Each adapter is kept with the name of its model, so a long name and many adapters multiply.
+        """
+        for name_length, adapters in ((30_000, 5_000), (200, 160_000)):
+            models = [{"name": "m" * name_length, "adapters": [f"{i:x}" for i in range(adapters)]}]
+            for record, decode in (
+                (ENTRY, partial(decode_endpoint, "i-e")),
+                (REPORT, decode_report),
+            ):
+                raw = json.dumps({**record, "models": models}, separators=(",", ":")).encode()
+                with self.subTest(name_length=name_length, adapters=adapters):
+                    tracemalloc.start()
+                    self.addCleanup(tracemalloc.stop)
+                    result = decode(raw)
+                    peak = tracemalloc.get_traced_memory()[1]
+                    tracemalloc.stop()
+                    self.assertLess(peak, 20 * len(raw))
+                    self.assertTrue(result.is_err())
+
     def test_entry_with_an_odd_key(self) -> None:
         """An id that can't stand in a header or in a message must name no endpoint."""
         raw = json.dumps(ENTRY).encode()
