Bound the texts in log lines

A line about an odd value was as long as the value: an address of an entry, or the repr of an exception that holds the bytes it failed on. Texts of a line are cut at 1,000 characters.

Evidence: test_any_text_gives_one_short_line failed with "2000090 not less than 3000".

--- a/catkinhook/operations/decisionlog.py
+++ b/catkinhook/operations/decisionlog.py
@@ -20,6 +20,8 @@
 # Seconds between summary lines, which give the number of suppressed lines.
 SUMMARY_INTERVAL_S = 5.0
 CLOSE_TIMEOUT_S = 0.5
+# Longest text of a line; texts of other processes and of exceptions may be of any length.
+MAX_TEXT_CHARS = 1000
 
 _LOGGER = "catkinhook.decisions"
 
@@ -88,6 +90,7 @@
                 return
             bucket.tokens -= 1.0
         line = {"at": round(now, 3), "kind": kind, "outcome": outcome, **inputs}
+        line = {n: v[:MAX_TEXT_CHARS] if isinstance(v, str) else v for n, v in line.items()}
         try:
             self._queue.put_nowait(line)
         except queue.Full:
--- /dev/null
+++ b/tests/test_decisionlog.py
@@ -0,0 +1,31 @@
+"""Decision log: lines about values from outside."""
+
+import contextlib
+import io
+import json
+import unittest
+
+from catkinhook.operations.decisionlog import MAX_TEXT_CHARS, DecisionLog
+
+
+class DecisionLogTest(unittest.TestCase):
+    """Lines that are written for any text."""
+
+    def test_any_text_gives_one_short_line(self) -> None:
+        """Guards against a line of the size of an odd row, and against one that isn't written."""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            log = DecisionLog("h")
+        log.start()
+        for text in ("x" * 1_000_000, "\ud800", "a\r\nb", "\0", "²"):
+            log.record("endpoint", outcome=f"unusable: {text}", endpoint=text)
+        log.close()
+        lines = output.getvalue().splitlines()
+        self.assertEqual(len(lines), 5)
+        for line in lines:
+            self.assertLess(len(line), 3 * MAX_TEXT_CHARS)
+            self.assertEqual(json.loads(line)["kind"], "endpoint")
+
+
+if __name__ == "__main__":
+    unittest.main()
