Leave room above the highest fencing token that is believed

A row of another writer with a token of 2^53 - 1 was believed, and the row that the next holder wrote with 2^53 was not, so that hosts could not read their own row.

--- a/catkinhook/control/orderlease.py
+++ b/catkinhook/control/orderlease.py
@@ -16,8 +16,9 @@
 # Time after the expiry for which other hosts still don't acquire the lease.
 ACQUIRE_MARGIN_S = 0.3
 MAX_ROW_BYTES = 4096
-# Holders count on from the fencing token in the row, and send it in i64 fields.
-MAX_FENCE = 2**53 - 1
+# Holders count on from the fencing token in the row, and send it in i64 fields. There is room for
+# more holders than a deployment can have.
+MAX_FENCE = 2**63 - 2**32
 # Highest rate in the row that is believed; sums of rates must remain finite.
 MAX_RATE = 1e6
 # Time after a failed renewal for which the holder attributes the expiry of its lease to a store
--- a/tests/test_orderlease.py
+++ b/tests/test_orderlease.py
@@ -272,6 +272,17 @@
                 with self.subTest(value=value[:60], text=text[:200]):
                     self.check_decoded(text.encode())
 
+    def test_any_fencing_token_can_be_followed_by_the_next(self) -> None:
+        """Guards against hosts that can't read their own row after another writer's."""
+        for fence in (2**31 - 1, 2**53 - 1, 2**53, 2**62, 2**63 - 2, 2**63 - 1, 2**63, 10**300):
+            with self.subTest(fence=fence):
+                row = json.dumps({"node": "x", "address": "x:1", "fence": fence, "nonce": "x"})
+                lease = OrderLease("a", "a:1", LEASE_S)
+                lease.observe(1, decode_lease(row.encode()), 0.0)
+                own = lease.make_record(False)
+                self.assertEqual(decode_lease(encode_lease(own)), own)
+                encode_on_wire(HolderView(node="a", fence=own.fence, holds=True))
+
     def test_odd_row_is_replaced(self) -> None:
         """Guards against hosts without a holder for as long as another writer's row stands."""
         for value in (TOO_NESTED[:4000], '{"rates": {"m": 1%s}}' % ("0" * 400)):
