Decode entries at nearly the cost of before

Every host decodes every entry at each heartbeat. The check of an address is cached, and ASCII names are not encoded.

--- a/catkinhook/platform/records.py
+++ b/catkinhook/platform/records.py
@@ -3,6 +3,7 @@
 For an invalid record, a decoder returns the reason instead of a value.
 """
 
+import functools
 import ipaddress
 import json
 import re
@@ -50,6 +51,9 @@
 MAX_DURATION_MS = 86_400_000.0
 # Sums and products of sizes, rates and weights must remain finite.
 MAX_QUANTITY = 1e12
+MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
+# Addresses of all endpoints of a large deployment; invalid ones of other writers push them out.
+MAX_CACHED_ADDRESSES = 512
 # Reasons are written to the log.
 MAX_REASON_CHARS = 300
 
@@ -270,18 +274,24 @@
 
 
 def _decode_address(record: Any) -> str:
-    """Return an address that a connection can be opened to; the platform has IPv4 only."""
     address = _read_field(record, "address", str)
+    if len(address) > MAX_ADDRESS_CHARS or not _is_endpoint_address(address):
+        raise _make_error("address", address)
+    return address
+
+
+# An entry is decoded at each heartbeat, and its address hardly ever changes.
+@functools.lru_cache(MAX_CACHED_ADDRESSES)
+def _is_endpoint_address(address: str) -> bool:
+    """Whether a connection to an address can be opened; the platform has IPv4 only."""
     try:
         host, port = split_address(address)
         ip = ipaddress.IPv4Address(host)
-    except ValueError as error:
-        raise _make_error("address", address) from error
+    except ValueError:
+        return False
     # A connection to 0.0.0.0 would reach this host itself.
     is_unusable = ip.is_unspecified or ip.is_multicast or ip.is_reserved
-    if is_unusable or port == 0 or address != f"{ip}:{port}":
-        raise _make_error("address", address)
-    return address
+    return not is_unusable and port > 0 and address == f"{ip}:{port}"
 
 
 def _decode_boot_id(record: Any) -> str:
--- a/catkinhook/texts.py
+++ b/catkinhook/texts.py
@@ -6,6 +6,8 @@
 
 def is_encodable(text: str) -> bool:
     """Whether a text can be encoded as UTF-8, which lone surrogates in JSON can't."""
+    if text.isascii():
+        return True
     try:
         text.encode()
     except UnicodeEncodeError:
