--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -18,13 +18,13 @@
 from catkinhook.requests.forwarding import CallerDisconnectedError, Forwarder, Reply
 from catkinhook.requests.routedrequest import DEFAULT_OUTPUT_TOKENS, RoutedRequest
 from catkinhook.requests.routetable import Route, RouteTable
-from catkinhook.wholenumbers import parse_whole_number
+from catkinhook.texts import parse_count
 from catkinhook.wsgiserver import PARSED_REQUEST
 
 STEP = "front"
 # Default deadline of requests, and upper limit on the deadlines that callers send.
 MAX_DEADLINE_S = 120.0
-# Larger token counts are treated as missing.
+# Larger token counts of a request are not believed.
 MAX_TOKENS = 10**9 - 1
 
 
@@ -238,13 +238,12 @@
 
 
 def _parse_last_event_id(inbound: _InboundRequest) -> int | None:
-    text = inbound.value_by_name.get(protocolnames.LAST_EVENT_ID.lower(), "")
-    return parse_whole_number(text)
+    return parse_count(inbound.value_by_name.get(protocolnames.LAST_EVENT_ID.lower(), ""))
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
-    counts = [parse_whole_number(part.strip()) for part in text.split(",")]
-    if len(counts) != 2 or not all(n is not None and n <= MAX_TOKENS for n in counts):
+    counts = [parse_count(part.strip()) for part in text.split(",")]
+    if len(counts) != 2 or any(count is None or count > MAX_TOKENS for count in counts):
         return 0, DEFAULT_OUTPUT_TOKENS
     return counts[0], counts[1]
 
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -19,7 +19,7 @@
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
-from catkinhook.wholenumbers import parse_whole_number
+from catkinhook.texts import parse_count
 
 STEP = "upstream"
 CONNECT_TIMEOUT_S = 0.5
@@ -232,7 +232,7 @@
         elif self.status in _BODILESS:
             self._is_ended = True
         elif lengths:
-            self._bytes_left = parse_whole_number(lengths.pop())
+            self._bytes_left = parse_count(lengths.pop())
             if self._bytes_left is None:
                 raise self._error("sent an answer of unknown length", fault="unframed")
             self._is_ended = self._bytes_left == 0
@@ -367,14 +367,14 @@
 
 
 def _parse_load(text: str) -> tuple[int, int] | None:
-    counts = [parse_whole_number(part.strip()) for part in text.split(",")[:2]]
-    return (counts[0], counts[1]) if len(counts) == 2 and None not in counts else None
+    counts = [parse_count(part.strip()) for part in text.split(",")[:2]]
+    return None if len(counts) < 2 or None in counts else (counts[0], counts[1])
 
 
 def _parse_idle_limit(text: str) -> float:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        seconds = parse_whole_number(value)
-        if name.lower() == "timeout" and seconds is not None:
+        seconds = parse_count(value) if name.lower() == "timeout" else None
+        if seconds is not None:
             return max(0.0, seconds - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
--- a/catkinhook/requests/callrunner.py
+++ b/catkinhook/requests/callrunner.py
@@ -26,7 +26,7 @@
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.pump import Pump
 from catkinhook.requests.relay import StreamRelay, render_error
-from catkinhook.wholenumbers import parse_whole_number
+from catkinhook.texts import parse_count
 
 STEP = "calls"
 EVENT_STREAM = "text/event-stream"
@@ -450,8 +450,8 @@
 
 
 def _read_load(head: ResponseHead) -> tuple[int, int] | None:
-    running = parse_whole_number(head.headers.get("x-engine-running", ""))
-    waiting = parse_whole_number(head.headers.get("x-engine-waiting", ""))
+    running = parse_count(head.headers.get("x-engine-running", ""))
+    waiting = parse_count(head.headers.get("x-engine-waiting", ""))
     return None if running is None or waiting is None else (running, waiting)
 
 
--- a/tests/hostcase.py
+++ b/tests/hostcase.py
@@ -42,7 +42,7 @@
 class HostCase(unittest.TestCase):
     """One host with two engines and two plain endpoints.
 
-    :ivar bounds: bounds of the platform, of the class.
+    :cvar bounds: bounds in the host's settings.
     """
 
     bounds = Bounds(lease_s=1.0, grace_s=4.0)
