Count an adapter that a report shows in transit

An engine holds one adapter more than the holder's record if a report with the known number of orders still lists it as incoming: the record took the report's resident adapters and dropped `incoming`. The next adapter was then ordered into a slot that was taken, which crashes the engine. Where adapters are fetched in milliseconds the window is as short as that; when many are fetched at once, each takes longer.

The record now takes `incoming` from every report that it believes.

test_adapter_that_is_still_being_loaded_is_counted failed before for 21 of 39 durations: "AssertionError: 4 adapters in 3 slots".

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -268,10 +268,11 @@
             if state.busy:
                 self._reopen_order(engine, state, requested_at)
             else:
-                unfinished = {
-                    i: at for i, at in engine.ready_at_by_adapter.items() if at > requested_at
-                }
-                engine.ready_at_by_adapter = unfinished
+                # Adapters in transit occupy slots, so they stay counted until a report lists them
+                # as resident.
+                engine.ready_at_by_adapter = dict.fromkeys(
+                    state.incoming, requested_at + REPORT_LAG_S
+                )
                 engine.adapters = group_adapters(state)
                 engine.unconfirmed_order = None
             return
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -472,6 +472,18 @@
                 engine.load_s = None
                 simulation.run(4.0, {"m4": WAITING_DEMAND})
 
+    def test_adapter_that_is_still_being_loaded_is_counted(self) -> None:
+        """Guards against an adapter too many on an engine to which one is still in transit."""
+        for adapter_load_s in [0.1 * number for number in range(1, 40)]:
+            with self.subTest(adapter_load_s=adapter_load_s):
+                simulation = self.make_simulation()
+                engine = simulation.engines["e0"]
+                engine.adapter_load_s = adapter_load_s
+                simulation.run(0.2, {"m0/a0": WAITING_DEMAND})
+                engine.adapter_load_s = 0.02
+                simulation.run(adapter_load_s, {})
+                simulation.run(0.3, {f"m0/a{n}": WAITING_DEMAND for n in (1, 2, 3)})
+
 
 class MemoryTest(unittest.TestCase):
     """Memory use under lost replies, late orders and changes of the lease holder."""
