Keep the slot of an adapter whose unload waits for its requests

An engine answers an order to unload an adapter with 200 if it is unloaded, and with 202 if requests still use it. The holder's record freed the slot in both cases and ordered another adapter into it.

An unload that is answered with 202 is now an open order, which blocks further orders to the engine until a report no longer lists the adapter.

test_adapter_in_use_is_counted_until_it_is_unloaded failed before: "AssertionError: 4 adapters in 3 slots".

--- a/catkinhook/control/enginerecords.py
+++ b/catkinhook/control/enginerecords.py
@@ -64,7 +64,8 @@
     :ivar ready_at_by_adapter: expected end of each adapter load, by ``model/adapter``.
     :ivar in_memory: models whose weights are cached in the engine's host memory.
     :ivar on_disk: models whose weights are cached on the engine's disk.
-    :ivar open_order: order for a model that the engine is executing.
+    :ivar open_order: order that the engine is executing: for a model, or an unload of an adapter in
+        use.
     :ivar unconfirmed_order: order for a model whose expected end has passed, until a report shows
         that the engine is not busy.
     :ivar in_flight_order: order whose reply has not arrived.
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -276,12 +276,14 @@
                 engine.adapters = group_adapters(state)
                 engine.unconfirmed_order = None
             return
-        if state.busy or requested_at < order.sent_at + REPORT_LAG_S:
+        is_unloading = f"{order.order.model}/{order.order.adapter}" in state.adapters
+        if state.busy or is_unloading or requested_at < order.sent_at + REPORT_LAG_S:
             return
         engine.open_order = engine.unconfirmed_order = None
         engine.adapters = group_adapters(state)
         engine.ready_at_by_adapter = dict.fromkeys(state.incoming, requested_at)
-        engine.loaded_at[order.order.model] = requested_at
+        if not order.order.adapter:
+            engine.loaded_at[order.order.model] = requested_at
 
     def _reopen_order(self, engine: EngineRecord, state: EngineState, requested_at: float) -> None:
         """Count an order as open again, because it takes longer than expected."""
@@ -329,6 +331,9 @@
             else:
                 engine.adapters.get(order.model, set()).discard(order.adapter)
                 engine.loaded_at.pop(item, None)
+                if reply is OrderReply.ACCEPTED:
+                    # The adapter keeps its slot until its requests end, which only a report shows.
+                    engine.open_order = OpenOrder(order, now, float("inf"))
         elif order.is_load:
             seconds = engine.load_seconds(model) if model else 0.0
             engine.planned_model = ""
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -484,6 +484,20 @@
                 simulation.run(adapter_load_s, {})
                 simulation.run(0.3, {f"m0/a{n}": WAITING_DEMAND for n in (1, 2, 3)})
 
+    def test_adapter_in_use_is_counted_until_it_is_unloaded(self) -> None:
+        """Guards against an adapter too many while an unload waits for its requests.
+
+        Hosts report their requests up to 2 s late, so the holder may unload an adapter in use.
+        """
+        simulation = self.make_simulation()
+        engine = simulation.engines["e0"]
+        simulation.run(0.5, {f"m0/a{n}": WAITING_DEMAND for n in range(ADAPTER_SLOTS)})
+        self.assertEqual(len(engine.models["m0"]), ADAPTER_SLOTS)
+        engine.used_until = {f"m0/a{n}": simulation.now + 3.0 for n in range(ADAPTER_SLOTS)}
+        simulation.run(2.0, {"m1/a0": WAITING_DEMAND})
+        simulation.run(2.0, {"m1/a0": WAITING_DEMAND})
+        self.assertTrue(simulation.engines_with("m1/a0"))
+
 
 class MemoryTest(unittest.TestCase):
     """Memory use under lost replies, late orders and changes of the lease holder."""
