Ask for a report after an order to load what already holds

An engine answers 200 to a load of a model that it already has. The holder's record lacked the model then, and kept lacking it, so that it counted too little and could order a model too many. The next report would have told, up to 2.5 s later. The same order was also sent again with each plan until then.

The answer now makes the record wait for a report, as a refusal does.

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -310,11 +310,12 @@
         engine.resend_count = 0
         if reply is OrderReply.ACCEPTED or (reply is OrderReply.IN_EFFECT and not order.is_load):
             self._record_accepted(engine, order, reply, now)
-        elif reply is not OrderReply.IN_EFFECT:
-            # Only a report shows the engine's sequence number and which orders it has executed.
-            engine.resync_at = now + (RESYNC_DELAY_S if reply is None else 0.0)
-        elif order.adapter:
+        elif reply is OrderReply.IN_EFFECT and order.adapter:
             engine.adapters.setdefault(order.model, set()).add(order.adapter)
+        else:
+            # Only a report shows the engine's sequence number and which orders it has executed. A
+            # model that the engine already had is missing from the record.
+            engine.resync_at = now + (RESYNC_DELAY_S if reply is None else 0.0)
         return reply is not OrderReply.FENCED
 
     def _record_accepted(
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -498,6 +498,19 @@
         simulation.run(2.0, {"m1/a0": WAITING_DEMAND})
         self.assertTrue(simulation.engines_with("m1/a0"))
 
+    def test_load_that_already_holds_is_counted(self) -> None:
+        """Guards against a model too many after an order for a model that was already there."""
+        simulation = self.make_simulation()
+        engine = simulation.engines["e0"]
+        engine.models.pop("m2")
+        simulation.run(3.0, {})
+        engine.models["m5"] = set()
+        simulation.run(0.3, {})
+        simulation.run(0.1, {"m5": WAITING_DEMAND})
+        self.assertEqual(engine.replies[-1], OrderReply.IN_EFFECT)
+        simulation.run(4.0, {"m4": WAITING_DEMAND})
+        self.assertTrue(simulation.engines_with("m4"))
+
 
 class MemoryTest(unittest.TestCase):
     """Memory use under lost replies, late orders and changes of the lease holder."""
