Forget what an engine held when a report shows a restart

A restarted engine may keep its id, and its report can arrive before its new entry. The holder then only marked the number of orders as unknown and kept the models and adapters of before, so it ordered adapters with the sequence number -1 for models that were no longer there, and counted the engine as a copy.

The record now starts anew, as it does when the entry comes first.

test_restarted_engine_gets_no_order_before_its_report failed before: "AssertionError: Lists differ: [OutgoingOrder(...)] != []".

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -231,7 +231,9 @@
         engine.failed_reports = 0
         if state.boot_id != engine.view.boot_id:
             # The engine has restarted, and its new entry has not arrived yet.
-            engine.sequence = -1
+            self._record_by_id[endpoint] = EngineRecord(
+                engine.view, report_requested_at=engine.report_requested_at
+            )
             return None
         engine.reported_at = requested_at
         if state.sequence < engine.sequence:
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -511,6 +511,19 @@
         simulation.run(4.0, {"m4": WAITING_DEMAND})
         self.assertTrue(simulation.engines_with("m4"))
 
+    def test_restarted_engine_gets_no_order_before_its_report(self) -> None:
+        """Guards against orders that rely on what an engine held before it restarted.
+
+        The engine's reports show the restart before its entry does. The holder went on ordering
+        adapters, with the sequence number -1.
+        """
+        simulation = self.make_simulation()
+        engine = simulation.engines["e0"]
+        before = attrs.evolve(engine.state(), boot_id="2", sequence=0, models=frozenset())
+        simulation.provisioner.record_report("e0", before, simulation.now)
+        simulation.provisioner.set_demand({("llm", "m0/a1"): WAITING_DEMAND}, simulation.now)
+        self.assertEqual(simulation.provisioner.plan(simulation.now), [])
+
 
 class MemoryTest(unittest.TestCase):
     """Memory use under lost replies, late orders and changes of the lease holder."""
