--- a/catkinhook/control/ordercoordinator.py
+++ b/catkinhook/control/ordercoordinator.py
@@ -313,14 +313,14 @@
             self._log.record("report", outcome=f"failed: {result.unwrap_err()}")
 
         def change(state: _CoordinatorState) -> None:
-            difference = state.provisioner.record_report(view.endpoint, result.ok(), requested_at)
-            if difference is not None:
+            correction = state.provisioner.record_report(view.endpoint, result.ok(), requested_at)
+            if correction is not None:
                 self._log.record(
                     "report",
-                    outcome="differs",
+                    outcome="corrected",
                     endpoint=view.endpoint,
                     requested_s_ago=round(self._clock() - requested_at, 3),
-                    **attrs.asdict(difference),
+                    **attrs.asdict(correction),
                 )
             self._replan_or_defer(state, self._clock())
 
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -98,17 +98,20 @@
 
 
 @attrs.frozen(kw_only=True)
-class ReportDifference:
-    """Difference between an engine's report and its record with the same sequence number.
+class RecordCorrection:
+    """Change of an engine's record by a report with the same sequence number.
 
-    :ivar uncounted: reported models and adapters that the record does not count.
-    :ivar absent: models and adapters that the record counts and the report does not have.
+    :ivar busy: whether the report says that the engine is executing an order.
+    :ivar added: models and adapters that the record did not count before.
+    :ivar dropped: models and adapters that the record counted before.
+    :ivar reopened: whether an order whose expected end has passed counts as open again.
     """
 
     sequence: int
     busy: bool
-    uncounted: tuple[str, ...]
-    absent: tuple[str, ...]
+    reopened: bool
+    added: tuple[str, ...]
+    dropped: tuple[str, ...]
 
 
 @attrs.frozen(kw_only=True)
@@ -214,12 +217,12 @@
 
     def record_report(
         self, endpoint: str, state: EngineState | None, requested_at: float
-    ) -> ReportDifference | None:
+    ) -> RecordCorrection | None:
         """Update an engine's record from its report.
 
         :param state: None when the engine did not answer.
         :param requested_at: time at which the report was requested.
-        :returns: the difference from the record before the update, None when there is none.
+        :returns: what the report changed at an unchanged sequence number, None for nothing.
         """
         engine = self._record_by_id.get(endpoint)
         if engine is None:
@@ -238,7 +241,8 @@
         engine.reported_at = requested_at
         if state.sequence < engine.sequence:
             return None
-        difference = _find_difference(engine, state)
+        sequence, counted_before = engine.sequence, engine.counted_items()
+        was_open = engine.open_order is not None
         if state.in_memory or state.on_disk:
             engine.in_memory, engine.on_disk = state.in_memory, state.on_disk
         is_resynced = engine.resync_at is not None and requested_at >= engine.resync_at
@@ -246,7 +250,17 @@
             self._replace_from_report(engine, state, requested_at)
         elif engine.resync_at is None and engine.in_flight_order is None:
             self._compare_with_report(engine, state, requested_at)
-        return difference
+        counted = engine.counted_items()
+        reopened = engine.open_order is not None and not was_open
+        if state.sequence != sequence or (counted == counted_before and not reopened):
+            return None
+        return RecordCorrection(
+            sequence=sequence,
+            busy=state.busy,
+            reopened=reopened,
+            added=tuple(sorted(counted - counted_before)),
+            dropped=tuple(sorted(counted_before - counted)),
+        )
 
     def _replace_from_report(self, engine: EngineRecord, state: EngineState, now: float) -> None:
         """Replace the engine's state, because the report may reflect orders unknown here."""
@@ -773,18 +787,3 @@
     def _find_model(self, engine: EngineRecord, name: str) -> ModelSpec | None:
         service = self._table.service_by_name.get(engine.view.service) if self._table else None
         return service.engine.model_by_name.get(name) if service and service.engine else None
-
-
-def _find_difference(engine: EngineRecord, state: EngineState) -> ReportDifference | None:
-    """Return the difference between a record and a report with the same sequence number."""
-    if state.sequence != engine.sequence:
-        return None
-    reported, counted = state.models | state.adapters | state.incoming, engine.counted_items()
-    if reported == counted or (engine.open_order is not None and reported <= counted):
-        return None
-    return ReportDifference(
-        sequence=state.sequence,
-        busy=state.busy,
-        uncounted=tuple(sorted(reported - counted)),
-        absent=tuple(sorted(counted - reported)),
-    )
