Test memory when orders, reports and restarts come late

The new test varies the duration of loads and adapter loads, uses adapters, delays replies and reports, and restarts engines under their id, with orders that are executed late.

--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections.abc import Callable
 
 import attrs
 from hypothesis import given, settings
@@ -85,12 +86,15 @@
         if order.fence < self.fence:
             return OrderReply.FENCED
         self.fence = order.fence
-        if self.busy is not None or order.expected != self.sequence:
+        key = (order.model, order.adapter)
+        is_in_transit = key in self.incoming
+        if self.busy is not None or is_in_transit or order.expected != self.sequence:
             return OrderReply.REFUSED
         if order.is_load and self.holds(order):
             return OrderReply.IN_EFFECT
+        if order.adapter and order.model not in self.models:
+            return OrderReply.INVALID
         self.sequence += 1
-        key = (order.model, order.adapter)
         if order.adapter and order.is_load:
             self.incoming[key] = now + self.adapter_load_s
         elif order.adapter and self.used_until.get("/".join(key), 0.0) > now:
@@ -110,6 +114,13 @@
         self.check()
         return OrderReply.ACCEPTED
 
+    def restart(self, now: float) -> None:
+        """Start again, empty and under the same id; delayed orders are still executed."""
+        self.view = attrs.evolve(self.view, boot_id=str(int(self.view.boot_id) + 1))
+        self.models, self.incoming, self.unloading = {}, {}, set()
+        self.sequence, self.fence, self.busy = 0, 0, None
+        self.history = [(now, self.state())]
+
     def holds(self, order: SequencedOrder) -> bool:
         """Whether a load already holds."""
         return order.model in self.models and (
@@ -133,7 +144,8 @@
             self.execute_order(order, now)
         for key in [key for key, at in self.incoming.items() if at <= now]:
             del self.incoming[key]
-            self.models.setdefault(key[0], set()).add(key[1])
+            if key[0] in self.models:
+                self.models[key[0]].add(key[1])
         for key in [k for k in self.unloading if self.used_until["/".join(k)] <= now]:
             self.unloading.remove(key)
             self.models.get(key[0], set()).discard(key[1])
@@ -150,7 +162,7 @@
     def state(self) -> EngineState:
         """Return the current state."""
         return EngineState(
-            boot_id="1",
+            boot_id=self.view.boot_id,
             sequence=self.sequence,
             busy=self.busy is not None,
             models=frozenset(self.models),
@@ -169,6 +181,7 @@
 
     :ivar loses_reply: tells whether the next reply to an order is lost; half of these orders are
         executed late.
+    :ivar delay: returns the seconds until the next reply or report is processed.
     """
 
     def __init__(
@@ -177,6 +190,8 @@
         self.now = 50.0
         self.rng = rng
         self.loses_reply = lambda: rng.random() < loss_rate
+        self.delay = lambda: 0.0
+        self.deliveries: list[tuple[float, Callable[[], None]]] = []
         self.engines = {}
         for number in range(engines):
             view = EndpointView(
@@ -203,22 +218,32 @@
             self.now += STEP_S
             for engine in self.engines.values():
                 engine.advance(self.now)
+            self.deliver(lambda: None)
             self.provisioner.set_demand(by_key, self.now)
             self.provisioner.set_running(
                 {
                     (name, model): 2
                     for name, engine in self.engines.items()
                     for model, until in engine.used_until.items()
-                    if until > self.now
+                    if until > self.now and "/" not in model
                 }
             )
             for view in self.provisioner.due_reports(self.now):
                 is_down = view.endpoint in self.down
                 state = None if is_down else self.engines[view.endpoint].report(self.now)
-                self.provisioner.record_report(view.endpoint, state, self.now)
+                args = (view.endpoint, state, self.now)
+                self.deliver(lambda args=args: self.provisioner.record_report(*args))
             for outgoing in self.provisioner.plan(self.now):
                 self.send(outgoing)
 
+    def deliver(self, process: Callable[[], object]) -> None:
+        """Process a reply or report after a delay, together with all others that are due."""
+        self.deliveries.append((self.now + self.delay(), process))
+        due = [pair for pair in self.deliveries if pair[0] <= self.now]
+        self.deliveries = [pair for pair in self.deliveries if pair[0] > self.now]
+        for _, process_due in due:
+            process_due()
+
     def send(self, outgoing: OutgoingOrder) -> None:
         """Deliver an order and record its reply, which may be lost."""
         engine, reply = self.engines[outgoing.view.endpoint], None
@@ -230,7 +255,8 @@
             engine.delayed_orders.append((self.now + self.rng.uniform(0.1, 6.0), outgoing.order))
         else:
             engine.execute_order(outgoing.order, self.now)
-        self.provisioner.record_reply(outgoing.view.endpoint, outgoing.order, reply, self.now)
+        args = (outgoing.view.endpoint, outgoing.order, reply)
+        self.deliver(lambda: self.provisioner.record_reply(*args, self.now))
 
     def engines_with(self, item: str) -> list[str]:
         """Return the engines on which a model or adapter is resident."""
@@ -553,6 +579,36 @@
                 simulation.run(rng.uniform(0.5, 4.0), demand)
             simulation.begin_term(fence)
 
+    @settings(max_examples=100)
+    @given(st.integers(0, 10_000), st.sampled_from((0.0, 0.2, 0.5)))
+    def test_memory_is_never_exceeded_by_what_ends_late(self, seed: int, loss_rate: float) -> None:
+        """Guards against engines that hold more than their record counts.
+
+        Loads take longer or shorter than the table says, adapters are in use or long in transit,
+        replies and reports are processed late, and engines restart under their id.
+        """
+        rng = random.Random(seed)
+        simulation = Simulation(rng.choice((1, 2)), rng, loss_rate, tuple(MODELS))
+        simulation.delay = lambda: rng.choice((0.0, 0.0, rng.uniform(0.0, 0.6)))
+        items = [*MODELS, *(f"{m}/a{n}" for m in ("m0", "m1") for n in range(4))]
+        for _ in range(20):
+            for engine in simulation.engines.values():
+                engine.load_s = rng.choice((None, rng.uniform(0.3, 6.0)))
+                engine.adapter_load_s = rng.choice((0.02, rng.uniform(0.02, 2.0)))
+                for item in rng.sample(items, 3):
+                    engine.used_until[item] = simulation.now + rng.uniform(0.0, 3.0)
+                if rng.random() < 0.1:
+                    engine.restart(simulation.now)
+            simulation.run(rng.choice((0.1, 1.0)), {})
+            simulation.provisioner.set_endpoints(
+                [engine.view for engine in simulation.engines.values()], simulation.now
+            )
+            demand = {
+                item: Demand(rate=rng.uniform(0, 9), waiting=rng.randint(0, 9))
+                for item in rng.sample(items, rng.randint(1, 6))
+            }
+            simulation.run(rng.uniform(0.2, 3.0), demand)
+
 
 if __name__ == "__main__":
     unittest.main()
