Leave room for loads that were sent before an engine restarted

An engine that restarts under its id is empty and counts orders from zero, and Expect-Instance can't tell the starts apart. A load whose reply was lost before the restart may be carried out seconds later, as soon as the new start has accepted as many orders as that load expects. The holder had forgotten it with the record of the old start and had filled the engine by then, so it crashed.

Loads whose replies were lost are now kept by endpoint for 15 s, beyond the record. An order is sent only if each late load that the engine could accept after it would still fit; memory_mb reserves for the largest of them.

test_load_sent_before_a_restart_finds_room_after_it failed before for 23 of 39 delays: "AssertionError: 280.0 MB of 220.0 MB".

--- a/catkinhook/control/enginerecords.py
+++ b/catkinhook/control/enginerecords.py
@@ -1,5 +1,7 @@
 """Engine records of the lease holder, and the demand aggregated over all hosts."""
 
+from collections.abc import Collection
+
 import attrs
 
 from catkinhook.control.sequencedorders import EngineState, SequencedOrder
@@ -80,6 +82,9 @@
     :ivar planned_model: model to load as soon as memory for it is free.
     :ivar draining_model: model that gets no new requests and is unloaded for the planned one.
     :ivar drain_started_at: time at which the drain began.
+    :ivar late_loads: loads whose replies were lost, with the times of the losses, also of earlier
+        boots. An engine that restarts under its id counts orders anew, so it may execute a load
+        that was sent before as soon as it has accepted as many orders as that load expects.
     :ivar failed_reports: consecutive failed report calls.
     :ivar needs_report: a host could not reach the engine, so a report is requested now.
     :ivar is_report_pending: a report call is in progress.
@@ -105,6 +110,7 @@
     planned_model: str = ""
     draining_model: str = ""
     drain_started_at: float = 0.0
+    late_loads: list[tuple[float, SequencedOrder]] = attrs.Factory(list)
     failed_reports: int = 0
     needs_report: bool = False
     is_report_pending: bool = False
@@ -147,20 +153,20 @@
         return frozenset(self.adapters) - unloading - {self.draining_model}
 
     def memory_mb(self, spec: EngineSpec) -> float:
-        """Return the memory use after all loads in progress, in MB."""
-        models = set(self.adapters) | {item.partition("/")[0] for item in self.ready_at_by_adapter}
-        if self.open_order is not None and self.open_order.order.is_load:
-            models.add(self.open_order.order.model)
-        total = 0.0
-        for name in models:
-            model = spec.model_by_name.get(name)
-            # The size of a model that was removed from the configuration is unknown, so it counts
-            # as the engine's whole memory.
-            total += model.memory_mb if model else spec.memory_mb
-        for item in self.resident_adapters() | set(self.ready_at_by_adapter):
-            model = spec.model_by_name.get(item.partition("/")[0])
-            total += model.adapter_mb if model else 0.0
-        return total
+        """Return the memory use after all loads in progress, in MB.
+
+        It includes the largest load that the engine may execute late, after its next order.
+        """
+        items = self.counted_items()
+        late_loads = self.late_loads_after(self.sequence + 1)
+        return max(
+            [memory_mb_of(items, spec)]
+            + [memory_mb_of(items | {order.item}, spec) for order in late_loads]
+        )
+
+    def late_loads_after(self, sequence: int) -> list[SequencedOrder]:
+        """Return the loads that the engine may execute late with a sequence number."""
+        return [order for _, order in self.late_loads if order.expected == sequence]
 
     def has_local_weights(self, model: str) -> bool:
         """Whether the engine has a model's weights in its memory or on its disk."""
@@ -173,6 +179,21 @@
         return model.disk_load_s if model.name in self.on_disk else model.load_s
 
 
+def memory_mb_of(items: Collection[str], spec: EngineSpec) -> float:
+    """Return the memory use of models and adapters, with the models of the adapters, in MB."""
+    total = 0.0
+    for name in {item.partition("/")[0] for item in items}:
+        model = spec.model_by_name.get(name)
+        # The size of a model that was removed from the configuration is unknown, so it counts as
+        # the engine's whole memory.
+        total += model.memory_mb if model else spec.memory_mb
+    for item in items:
+        name, _, adapter = item.partition("/")
+        model = spec.model_by_name.get(name)
+        total += model.adapter_mb if model and adapter else 0.0
+    return total
+
+
 def estimate_free_at(engine: EngineRecord, now: float) -> float:
     """Return the estimated time from which an engine accepts its next order."""
     order = engine.open_order
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -23,6 +23,7 @@
     estimate_free_at,
     group_adapters,
     is_loading,
+    memory_mb_of,
 )
 from catkinhook.control.modelcopies import (
     MEAN_DRAIN_S,
@@ -81,6 +82,9 @@
 MAX_RESENDS = 2
 # Time after a lost reply from which a report shows the outcome of the order.
 RESYNC_DELAY_S = 0.5
+# Time after a lost reply for which the order may still be executed. The platform's documentation of
+# orders says "seconds later".
+LATE_ORDER_S = 15.0
 # Order of an engine that is busy for a reason unknown here. Only a report can show its completion.
 _UNKNOWN_ORDER = SequencedOrder(is_load=False, model="", expected=0, holder="", fence=0)
 
@@ -146,6 +150,7 @@
         self._demand: dict[tuple[str, str], Demand] = {}
         self._items_by_model: dict[tuple[str, str], list[str]] = {}
         self._last_used_at: dict[str, float] = {}
+        self._late_loads_by_id: dict[str, list[tuple[float, SequencedOrder]]] = {}
         self._missing_since: dict[str, dict[str, float]] = {}
         self._recent_store_loads: deque[float] = deque()
         self._available_at: dict[tuple[str, str], float] = {}
@@ -168,7 +173,8 @@
         window_s = self._bounds.load_window_s
         self._recent_store_loads = deque([now] * int(window_s / 2))
         self._record_by_id = {
-            endpoint: EngineRecord(engine.view) for endpoint, engine in self._record_by_id.items()
+            endpoint: self._make_record(engine.view)
+            for endpoint, engine in self._record_by_id.items()
         }
 
     def set_table(self, table: RouteTable) -> None:
@@ -183,12 +189,16 @@
         for endpoint, view in by_id.items():
             engine = self._record_by_id.get(endpoint)
             if engine is None or engine.view.boot_id != view.boot_id:
-                self._record_by_id[endpoint] = EngineRecord(view)
+                self._record_by_id[endpoint] = self._make_record(view)
                 continue
             engine.view = view
             if view.in_memory or view.on_disk:
                 engine.in_memory, engine.on_disk = view.in_memory, view.on_disk
 
+    def _make_record(self, view: EndpointView) -> EngineRecord:
+        late_loads = self._late_loads_by_id.setdefault(view.endpoint, [])
+        return EngineRecord(view, late_loads=late_loads)
+
     def set_demand(self, demand: dict[tuple[str, str], Demand], now: float) -> None:
         """Replace the aggregated demand of all hosts."""
         self._demand = demand
@@ -234,9 +244,8 @@
         engine.failed_reports = 0
         if state.boot_id != engine.view.boot_id:
             # The engine has restarted, and its new entry has not arrived yet.
-            self._record_by_id[endpoint] = EngineRecord(
-                engine.view, report_requested_at=engine.report_requested_at
-            )
+            self._record_by_id[endpoint] = self._make_record(engine.view)
+            self._record_by_id[endpoint].report_requested_at = engine.report_requested_at
             return None
         engine.reported_at = requested_at
         if state.sequence < engine.sequence:
@@ -316,6 +325,8 @@
         :param reply: None when the reply was lost.
         :returns: false when the engine has seen a higher fencing token.
         """
+        if reply is None and order.is_load:
+            self._late_loads_by_id.setdefault(endpoint, []).append((now, order))
         engine = self._record_by_id.get(endpoint)
         if engine is None or engine.in_flight_order is not order:
             return True
@@ -368,6 +379,7 @@
         self._available_at = {}
         self._now = now
         self._apply_expected_completions(now)
+        self._forget_late_loads(now)
         if self._table is None:
             return []
         orders = self._resend_unanswered()
@@ -384,6 +396,13 @@
                 orders += self._plan_adapters(service.name, pool)
         return orders
 
+    def _forget_late_loads(self, now: float) -> None:
+        """Forget the loads that were sent too long ago to be executed."""
+        for endpoint, loads in list(self._late_loads_by_id.items()):
+            loads[:] = [(at, order) for at, order in loads if now - at < LATE_ORDER_S]
+            if not loads and endpoint not in self._record_by_id:
+                del self._late_loads_by_id[endpoint]
+
     def _resend_unanswered(self) -> list[OutgoingOrder]:
         """Return the orders whose replies were lost and mark them as in flight again."""
         orders = []
@@ -525,7 +544,7 @@
             engine.draining_model, engine.drain_started_at = victim, pool.now
             orders = self._unload_drained(engine, pool.now)
         else:
-            orders = [self._make_order(engine, True, model.name, "", pool.now)]
+            orders = self._make_orders(engine, True, model.name, "", pool.now)
         pool.refresh(engine)
         return orders
 
@@ -555,7 +574,7 @@
             if model is None or model.name in engine.adapters or not fits_in_memory:
                 engine.planned_model = ""
             else:
-                orders.append(self._make_order(engine, True, model.name, "", pool.now))
+                orders += self._make_orders(engine, True, model.name, "", pool.now)
             pool.refresh(engine)
         return orders
 
@@ -564,7 +583,7 @@
         is_used = engine.running_by_model.get(engine.draining_model, 0) > 0
         if not engine.is_free or (is_used and now - engine.drain_started_at < MAX_DRAIN_S):
             return []
-        return [self._make_order(engine, False, engine.draining_model, "", now)]
+        return self._make_orders(engine, False, engine.draining_model, "", now)
 
     def _warm_disk_caches(self, pool: EnginePool) -> list[OutgoingOrder]:
         """Before traffic, load the models with the fewest copies to put their weights on disk.
@@ -606,9 +625,9 @@
             if victim:
                 resident[victim] -= 1
                 engine.planned_model = model.name
-                orders.append(self._make_order(engine, False, victim, "", now))
+                orders += self._make_orders(engine, False, victim, "", now)
             else:
-                orders.append(self._make_order(engine, True, model.name, "", now))
+                orders += self._make_orders(engine, True, model.name, "", now)
             pool.refresh(engine)
         return orders
 
@@ -732,9 +751,9 @@
                 ):
                     continue
                 min_idle_s = ADAPTER_MIN_IDLE_S if demand.waiting else NO_WAITERS_MIN_IDLE_S
-                order = self._load_adapter(spec, engine, model, adapter, min_idle_s, now)
-                if order is not None:
-                    orders.append(order)
+                adapter_orders = self._load_adapter(spec, engine, model, adapter, min_idle_s, now)
+                orders += adapter_orders
+                if adapter_orders:
                     break
         return orders
 
@@ -746,32 +765,33 @@
         adapter: str,
         min_idle_s: float,
         now: float,
-    ) -> OutgoingOrder | None:
+    ) -> list[OutgoingOrder]:
         """Return the next order for loading an adapter: its load, or an unload that makes room.
 
         :param min_idle_s: seconds since its last use after which an adapter may be evicted.
         """
         # Engines refuse adapter orders while they execute a model order.
         if engine.open_order is not None or len(engine.ready_at_by_adapter) >= MAX_LOADING_ADAPTERS:
-            return None
+            return []
         loaded = engine.resident_adapters()
         has_free_slot = len(loaded) + len(engine.ready_at_by_adapter) < spec.adapter_slots
         if has_free_slot and engine.memory_mb(spec) + model.adapter_mb <= spec.memory_mb:
-            return self._make_order(engine, True, model.name, adapter, now)
+            return self._make_orders(engine, True, model.name, adapter, now)
         never = float("-inf")
         last_used_at = {
             i: max(self._last_used_at.get(i, never), engine.loaded_at.get(i, never)) for i in loaded
         }
         idle_adapters = [item for item in loaded if now - last_used_at[item] >= min_idle_s]
         if not idle_adapters:
-            return None
+            return []
         victim = min(idle_adapters, key=lambda item: (last_used_at[item], item))
         name, _, victim_adapter = victim.partition("/")
-        return self._make_order(engine, False, name, victim_adapter, now)
+        return self._make_orders(engine, False, name, victim_adapter, now)
 
-    def _make_order(
+    def _make_orders(
         self, engine: EngineRecord, is_load: bool, model: str, adapter: str, now: float
-    ) -> OutgoingOrder:
+    ) -> list[OutgoingOrder]:
+        """Return the order and mark it as in flight; empty while the order is not safe."""
         order = SequencedOrder(
             is_load=is_load,
             model=model,
@@ -780,10 +800,31 @@
             holder=self._node,
             fence=self._fence,
         )
+        if not self._leaves_room_for_late_loads(engine, order):
+            return []
         engine.in_flight_order = order
         counted = tuple(sorted(engine.counted_items()))
-        return OutgoingOrder(view=engine.view, order=order, counted=counted)
+        return [OutgoingOrder(view=engine.view, order=order, counted=counted)]
+
+    def _leaves_room_for_late_loads(self, engine: EngineRecord, order: SequencedOrder) -> bool:
+        """Whether each load that the engine may execute late, after an order, would fit."""
+        late_loads = engine.late_loads_after(order.expected + 1)
+        if not late_loads:
+            return True
+        spec = self._table.service_by_name[engine.view.service].engine
+        items = engine.counted_items()
+        if order.is_load:
+            items.add(order.item)
+        else:
+            items = {i for i in items if order.item not in (i, i.partition("/")[0])}
+        return all(_fits(items | {late.item}, spec) for late in late_loads)
 
     def _find_model(self, engine: EngineRecord, name: str) -> ModelSpec | None:
         service = self._table.service_by_name.get(engine.view.service) if self._table else None
         return service.engine.model_by_name.get(name) if service and service.engine else None
+
+
+def _fits(items: set[str], spec: EngineSpec) -> bool:
+    """Whether models and adapters fit into an engine."""
+    adapters = sum("/" in item for item in items)
+    return memory_mb_of(items, spec) <= spec.memory_mb and adapters <= spec.adapter_slots
--- a/catkinhook/control/sequencedorders.py
+++ b/catkinhook/control/sequencedorders.py
@@ -29,6 +29,11 @@
     holder: str
     fence: int
 
+    @property
+    def item(self) -> str:
+        """Model, or adapter as ``model/adapter``."""
+        return f"{self.model}/{self.adapter}" if self.adapter else self.model
+
 
 class OrderReply(enum.Enum):
     """An engine's reply to an order."""
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -181,6 +181,7 @@
 
     :ivar loses_reply: tells whether the next reply to an order is lost; half of these orders are
         executed late.
+    :ivar sent: orders that were sent.
     :ivar delay: returns the seconds until the next reply or report is processed.
     """
 
@@ -191,6 +192,7 @@
         self.rng = rng
         self.loses_reply = lambda: rng.random() < loss_rate
         self.delay = lambda: 0.0
+        self.sent: list[OutgoingOrder] = []
         self.deliveries: list[tuple[float, Callable[[], None]]] = []
         self.engines = {}
         for number in range(engines):
@@ -247,6 +249,7 @@
     def send(self, outgoing: OutgoingOrder) -> None:
         """Deliver an order and record its reply, which may be lost."""
         engine, reply = self.engines[outgoing.view.endpoint], None
+        self.sent.append(outgoing)
         if outgoing.view.endpoint in self.down:
             reply = None
         elif not self.loses_reply():
@@ -550,6 +553,28 @@
         simulation.provisioner.set_demand({("llm", "m0/a1"): WAITING_DEMAND}, simulation.now)
         self.assertEqual(simulation.provisioner.plan(simulation.now), [])
 
+    def test_load_sent_before_a_restart_finds_room_after_it(self) -> None:
+        """Guards against a late load that a restarted engine takes for one of its present orders.
+
+        The engine keeps its id and counts orders anew, so it accepts the load of before as soon as
+        it has accepted as many orders as that load expects.
+        """
+        for late_s in [0.3 * number for number in range(1, 40)]:
+            with self.subTest(late_s=late_s):
+                simulation = self.make_simulation()
+                engine = simulation.engines["e0"]
+                simulation.run(2.5, {"m3": WAITING_DEMAND})
+                simulation.loses_reply = lambda engine=engine: engine.sequence == 3
+                simulation.run(0.25, {"m4": WAITING_DEMAND})
+                simulation.loses_reply = lambda: False
+                sent = [outgoing.order for outgoing in simulation.sent if outgoing.order.is_load]
+                self.assertEqual(sent[-1].expected, 3)
+                engine.restart(simulation.now)
+                engine.delayed_orders = [(simulation.now + late_s, sent[-1])]
+                simulation.provisioner.set_endpoints([engine.view], simulation.now)
+                simulation.run(18.0, dict.fromkeys(("m0", "m1", "m2", "m5"), WAITING_DEMAND))
+                self.assertGreaterEqual(len(engine.models), 3)
+
 
 class MemoryTest(unittest.TestCase):
     """Memory use under lost replies, late orders and changes of the lease holder."""
