Believe a lower number of orders once a report must be newer

An engine answers 200 to an unload of what it does not have. The holder counted that as an accepted order. If the engine does not, the record's number stays too high: each order is refused, and each report is taken for an older state because its number is lower. The engine got no order any more.

A report that was requested REPORT_LAG_S or more after the refusal shows a later state, and now replaces the record in any case. An order that is based on it is still refused unless the number is right.

test_unload_of_what_is_absent_does_not_block_an_engine failed before: "AssertionError: [] is not true".

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -248,7 +248,10 @@
             self._record_by_id[endpoint].report_requested_at = engine.report_requested_at
             return None
         engine.reported_at = requested_at
-        if state.sequence < engine.sequence:
+        # A lower sequence number is that of an older state, unless the report is known to be newer
+        # than the reply after which the record's number is in doubt.
+        doubted_at = engine.resync_at if engine.resync_at is not None else float("inf")
+        if state.sequence < engine.sequence and requested_at < doubted_at + REPORT_LAG_S:
             return None
         sequence, counted_before = engine.sequence, engine.counted_items()
         was_open = engine.open_order is not None
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -90,7 +90,7 @@
         is_in_transit = key in self.incoming
         if self.busy is not None or is_in_transit or order.expected != self.sequence:
             return OrderReply.REFUSED
-        if order.is_load and self.holds(order):
+        if order.is_load == self.holds(order):
             return OrderReply.IN_EFFECT
         if order.adapter and order.model not in self.models:
             return OrderReply.INVALID
@@ -122,7 +122,7 @@
         self.history = [(now, self.state())]
 
     def holds(self, order: SequencedOrder) -> bool:
-        """Whether a load already holds."""
+        """Whether the model or adapter of an order is resident."""
         return order.model in self.models and (
             not order.adapter or order.adapter in self.models[order.model]
         )
@@ -553,6 +553,19 @@
         simulation.provisioner.set_demand({("llm", "m0/a1"): WAITING_DEMAND}, simulation.now)
         self.assertEqual(simulation.provisioner.plan(simulation.now), [])
 
+    def test_unload_of_what_is_absent_does_not_block_an_engine(self) -> None:
+        """Guards against an engine that gets no order any more.
+
+        The engine answers that the unload already holds, and does not count it as accepted.
+        """
+        simulation = self.make_simulation()
+        engine = simulation.engines["e0"]
+        engine.models.clear()
+        simulation.run(0.05, {"m5": WAITING_DEMAND})
+        self.assertEqual((engine.replies, engine.sequence), ([OrderReply.IN_EFFECT], 0))
+        simulation.run(4.0, {"m5": WAITING_DEMAND})
+        self.assertTrue(simulation.engines_with("m5"))
+
     def test_load_sent_before_a_restart_finds_room_after_it(self) -> None:
         """Guards against a late load that a restarted engine takes for one of its present orders.
 
