Keep a report's copies of weights when an entry did not change

Entries of endpoints are applied again whenever one of them changes, and each time the copies of weights in an engine's entry replaced those of its newer report.

An entry's copies now count only when they have changed.

test_unchanged_entry_does_not_replace_what_a_report_said failed before: "AssertionError: True is not false".

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -191,9 +191,11 @@
             if engine is None or engine.view.boot_id != view.boot_id:
                 self._record_by_id[endpoint] = self._make_record(view)
                 continue
-            engine.view = view
-            if view.in_memory or view.on_disk:
-                engine.in_memory, engine.on_disk = view.in_memory, view.on_disk
+            previous, engine.view = engine.view, view
+            copies = (view.in_memory, view.on_disk)
+            # A report may be newer than an entry that has not changed.
+            if any(copies) and copies != (previous.in_memory, previous.on_disk):
+                engine.in_memory, engine.on_disk = copies
 
     def _make_record(self, view: EndpointView) -> EngineRecord:
         late_loads = self._late_loads_by_id.setdefault(view.endpoint, [])
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -566,6 +566,24 @@
         simulation.run(4.0, {"m5": WAITING_DEMAND})
         self.assertTrue(simulation.engines_with("m5"))
 
+    def test_unchanged_entry_does_not_replace_what_a_report_said(self) -> None:
+        """Guards against loads from the weight store that are expected from a copy that is gone.
+
+        Entries are applied whenever one of them changes. Such a load took longer than expected,
+        and was not charged to the weight store's rate limit.
+        """
+        simulation = self.make_simulation()
+        engine, provisioner = simulation.engines["e0"], simulation.provisioner
+        entry = attrs.evolve(engine.view, on_disk=frozenset(MODELS))
+        provisioner.set_endpoints([entry], simulation.now)
+        engine.on_disk.discard("m5")
+        simulation.run(3.0, {})
+        provisioner.set_endpoints([entry], simulation.now)
+        [record] = provisioner.known_engines()
+        self.assertFalse(record.has_local_weights("m5"))
+        provisioner.set_endpoints([attrs.evolve(entry, on_disk=frozenset(["m5"]))], simulation.now)
+        self.assertTrue(record.has_local_weights("m5"))
+
     def test_load_sent_before_a_restart_finds_room_after_it(self) -> None:
         """Guards against a late load that a restarted engine takes for one of its present orders.
 
