Remember the load in progress when an order is refused

A refused order makes the holder start an engine's record from its report. The report says that the engine is busy, but not with what, so the record forgot the model that was being loaded. It was blocked until the engine was idle, but the model counted as neither there nor on its way, and was loaded a second time elsewhere.

At an unchanged number of orders, the engine is still at the last order that it accepted, which the record knows.

test_refused_order_does_not_hide_the_load_in_progress failed before: "AssertionError: 2 != 1".

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -278,6 +278,8 @@
 
     def _replace_from_report(self, engine: EngineRecord, state: EngineState, now: float) -> None:
         """Replace the engine's state, because the report may reflect orders unknown here."""
+        known_order = engine.open_order or engine.unconfirmed_order
+        late_order = known_order if state.sequence == engine.sequence else None
         engine.sequence = state.sequence
         engine.resync_at = None
         engine.unanswered_order = None
@@ -285,7 +287,7 @@
         engine.ready_at_by_adapter = dict.fromkeys(state.incoming, now + REPORT_LAG_S)
         engine.open_order = engine.unconfirmed_order = None
         if state.busy:
-            engine.open_order = OpenOrder(_UNKNOWN_ORDER, now, float("inf"))
+            engine.open_order = _find_order_in_progress(late_order, now)
 
     def _compare_with_report(
         self, engine: EngineRecord, state: EngineState, requested_at: float
@@ -317,9 +319,8 @@
 
     def _reopen_order(self, engine: EngineRecord, state: EngineState, requested_at: float) -> None:
         """Count an order as open again, because it takes longer than expected."""
-        unknown = OpenOrder(_UNKNOWN_ORDER, requested_at, requested_at)
-        order, engine.unconfirmed_order = engine.unconfirmed_order or unknown, None
-        engine.open_order = attrs.evolve(order, done_at=float("inf"))
+        engine.open_order = _find_order_in_progress(engine.unconfirmed_order, requested_at)
+        engine.unconfirmed_order = None
         engine.adapters = group_adapters(state)
 
     def record_reply(
@@ -354,6 +355,7 @@
         self, engine: EngineRecord, order: SequencedOrder, reply: OrderReply, now: float
     ) -> None:
         engine.sequence = order.expected + 1
+        engine.unconfirmed_order = None
         model = self._find_model(engine, order.model)
         if order.adapter:
             item = f"{order.model}/{order.adapter}"
@@ -829,6 +831,15 @@
         return service.engine.model_by_name.get(name) if service and service.engine else None
 
 
+def _find_order_in_progress(late_order: OpenOrder | None, now: float) -> OpenOrder:
+    """Return the order that a busy engine is executing, whose end only a report can show.
+
+    :param late_order: order whose expected end has passed, None when none is known.
+    """
+    order = late_order or OpenOrder(_UNKNOWN_ORDER, now, now)
+    return attrs.evolve(order, done_at=float("inf"))
+
+
 def _fits(items: set[str], spec: EngineSpec) -> bool:
     """Whether models and adapters fit into an engine."""
     adapters = sum("/" in item for item in items)
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -553,6 +553,24 @@
         simulation.provisioner.set_demand({("llm", "m0/a1"): WAITING_DEMAND}, simulation.now)
         self.assertEqual(simulation.provisioner.plan(simulation.now), [])
 
+    def test_refused_order_does_not_hide_the_load_in_progress(self) -> None:
+        """Guards against a second load of a model that an engine is still loading.
+
+        An order that is refused during a late load makes the record start from a report, which does
+        not say what the engine is loading.
+        """
+        simulation = Simulation(2, random.Random(1), 0.0, tuple(MODELS))
+        simulation.run(3.0, {})
+        for engine in simulation.engines.values():
+            engine.load_s = 5.0
+        demand = {"m5": Demand(rate=0.5, waiting=1)}
+        simulation.run(2.2, demand)
+        simulation.run(2.0, {**demand, **{f"m1/a{n}": WAITING_DEMAND for n in range(3)}})
+        replies = [reply for engine in simulation.engines.values() for reply in engine.replies]
+        self.assertIn(OrderReply.REFUSED, replies)
+        loads = [sent.order for sent in simulation.sent if sent.order.item == "m5"]
+        self.assertEqual(len(loads), 1)
+
     def test_unload_of_what_is_absent_does_not_block_an_engine(self) -> None:
         """Guards against an engine that gets no order any more.
 
