Compare the request's id before a refusal is believed

Callers saw: 503, "not run, try again", for requests that a replica had run, and idempotent requests and resumable streams that ran four times where max_attempts is 2.

Cause: upstream._process_head acted on status 421 and on Not-Executed before it compared Attempt-Id, so the refusal of an earlier request, written once more in place of an answer, was taken for the refusal of this request. On a new connection the same happened to requests that may run once.

Change: the id is compared before anything else of an answer is used. Two different ids are no match. A refusal without any id is believed only on a new connection, where no earlier request can have caused it; connections know whether they carried a request. The log line of a foreign answer names its status, its id, and the kind of connection.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -34,6 +34,9 @@
 IDLE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 4.0
 
+# Longest text of foreign request ids in a log line.
+MAX_LOGGED_ID_LENGTH = 64
+
 _MISDIRECTED = 421
 _BODILESS = frozenset({204, 304})
 
@@ -197,6 +200,7 @@
         response = self._response
         get = response.headers.get
         self.status = response.status
+        self._check_request_id()
         self.load = _parse_load(get(protocolnames.LOAD, ""))
         if self.status == _MISDIRECTED:
             # Checked before the header ``protocolnames.NOT_RUN``, whose reason is less specific.
@@ -206,8 +210,6 @@
             self._raise_not_run(reason, "absent")
         if get(protocolnames.NOT_RUN) is not None:
             self._raise_not_run(f"answered {self.status} without running the request")
-        if get(protocolnames.REQUEST_ID) != self._request_id:
-            raise self._error("sent the answer of another request", fault="crossed")
         if get(protocolnames.ANSWER_SIGNATURE) is None and self.status < 300:
             raise self._error("sent an answer without a signature", fault="unsigned")
         if get("Content-Encoding") is not None:
@@ -228,6 +230,25 @@
             self._is_ended = self._bytes_left == 0
         self._take_buffered()
 
+    def _check_request_id(self) -> None:
+        """Raise an error unless the answer belongs to this request.
+
+        A refusal may lack the id, but only on a new connection: on one that carried an earlier
+        request, it may be the refusal of that request.
+        """
+        headers = self._response.headers
+        ids = set(headers.get_all(protocolnames.REQUEST_ID, ()))
+        is_refusal = self.status == _MISDIRECTED or protocolnames.NOT_RUN in headers
+        may_lack_id = is_refusal and not self._connection.is_reused
+        if ids == {self._request_id} or (may_lack_id and not ids):
+            return
+        found = ", ".join(sorted(ids))[:MAX_LOGGED_ID_LENGTH] or "none"
+        kind = "kept" if self._connection.is_reused else "new"
+        reason = (
+            f"sent the answer of another request on a {kind} connection: {self.status}, {found}"
+        )
+        raise self._error(reason, fault="crossed")
+
     def _take_buffered(self) -> None:
         """Take the body bytes that were read with the headers.
 
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -112,7 +112,10 @@
 
 
 class CountingConnection(HTTPConnection):
-    """Connection that counts the bytes sent for the current request."""
+    """Connection that counts the bytes sent for the current request.
+
+    :ivar is_reused: whether it carried an earlier request, whose answer may arrive once more.
+    """
 
     def __init__(self, address: str, connect_timeout: float) -> None:
         host, port = split_address(address)
@@ -126,6 +129,7 @@
             ],
         )
         self.bytes_sent = 0
+        self.is_reused = False
         self.idle_since = 0.0
         self.idle_limit = MAX_IDLE_S
         self._buffered: list[bytes] | None = None
@@ -258,6 +262,7 @@
 
     def release(self, address: str, connection: CountingConnection) -> None:
         """Return a connection to the pool; its last answer must be read to the end."""
+        connection.is_reused = True
         connection.idle_since = time.monotonic()
         with self._lock:
             idle = self._idle_by_address.setdefault(address, [])
--- a/tests/hostcase.py
+++ b/tests/hostcase.py
@@ -40,12 +40,20 @@
 
 
 class HostCase(unittest.TestCase):
-    """One host with two engines and two plain endpoints."""
+    """One host with two engines and two plain endpoints.
+
+    :cvar endpoint_class: class of the engines and plain endpoints.
+    :cvar bounds: limits of the host.
+    """
+
+    endpoint_class: type[FakeEndpoint] = FakeEndpoint
+    bounds = Bounds(lease_s=1.0, grace_s=4.0)
 
     def setUp(self) -> None:
         self.store = FakeStore()
-        self.engines = [FakeEndpoint("i-e1", ("m1",)), FakeEndpoint("i-e2", ("m1", "m2"))]
-        self.plain_endpoints = [FakeEndpoint("i-d1"), FakeEndpoint("i-d2")]
+        make = self.endpoint_class
+        self.engines = [make("i-e1", ("m1",)), make("i-e2", ("m1", "m2"))]
+        self.plain_endpoints = [make("i-d1"), make("i-d2")]
         for fake in (self.store, *self.engines, *self.plain_endpoints):
             fake.start()
             self.addCleanup(fake.close)
@@ -63,7 +71,7 @@
             peer_address=f"127.0.0.1:{find_port()}",
             seeds=(),
             store_address=self.store.address,
-            bounds=Bounds(lease_s=1.0, grace_s=4.0),
+            bounds=self.bounds,
         )
         self.host = Host(self.settings, make_platform(self.settings))
         self.host.kernel.start()
