Send a request to an endpoint again on a new connection only

Callers saw: 503 for requests and streams that ran at an endpoint which had refused them a moment before; they then ran up to twice more.

Cause: when all endpoints have refused a request, it is sent to one of them again, on the connection that carried the refusal. If the endpoint writes this refusal once more, it has the right id.

Change: a request that goes to an address a second time uses a new connection.

Evidence: with the code before, test_earlier_refusal_of_the_same_request_is_not_believed fails with "3 != 1" runs of an idempotent request, and with a broken stream.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -50,6 +50,7 @@
     :param headers: headers to forward, including ``Host``.
     :param is_repeatable: whether the request may run twice. Otherwise it is sent on a new
         connection, because the endpoint may close a keep-alive connection while it is being sent.
+        A request that may run twice uses a new connection when it is sent to an address again.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         self._is_repeatable = is_repeatable
         self._answer: EndpointAnswer | None = None
         self._is_aborted = False
+        self._tried_addresses: set[str] = set()
 
     def open(
         self,
@@ -103,9 +105,11 @@
             answer.abort()
         answer.stop_if_silent = stop_if_silent
         answer.ends_at = time.monotonic() + time_left_s + DEADLINE_GRACE_S
-        answer.send(
-            self._method, self._target, headers, self._body, timeout_s, not self._is_repeatable
-        )
+        # The id can't tell the answers to two attempts of this request on one connection apart.
+        address = assignment.endpoint.address
+        fresh = not self._is_repeatable or address in self._tried_addresses
+        self._tried_addresses.add(address)
+        answer.send(self._method, self._target, headers, self._body, timeout_s, fresh)
         return answer
 
     def abort(self) -> None:
--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -197,6 +197,21 @@
                 answer, _ = self.send_request("POST", f"{path}/x", b"p", **headers)
                 self.check_unknown(answer.status, group, 1)
 
+    def test_earlier_refusal_of_the_same_request_is_not_believed(self) -> None:
+        """Guards against "not run" when an endpoint is asked again and repeats its refusal.
+
+        Both attempts have the same id, so only a new connection tells the refusals apart.
+        """
+        for group, path, headers in (
+            (self.plain_endpoints, "/look/refused-once", {}),
+            (self.engines, "/live/refused-once", MODEL_HEADERS),
+        ):
+            with self.subTest(path=path):
+                self.set_repeat(group, "sent")
+                answer, _ = self.send_request("POST", path, b"p", **headers)
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(self.count_runs(group), 1)
+
     def test_refusal_without_id_proves_nothing_on_a_kept_connection(self) -> None:
         """Guards against taking an earlier refusal without an id for that of this request."""
         self.refuse_earlier_request(self.plain_endpoints, "/look/refused")
