Close the connection when bytes follow a complete refusal

Cause: the body of a refusal was read through the response's file object. Bytes that followed it were already in that object's buffer, where the check of an idle connection doesn't see them, so the connection was used again.

Change: a refusal is read like any other answer, with the same check for extra bytes; the check now also covers answers without a body.

Evidence: with the code before, test_connection_with_extra_bytes_is_not_used_again fails: the next request ran on a connection on which bytes had followed a refusal.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -223,16 +223,7 @@
             for name, value in response.headers.items()
             if name.lower() not in protocolnames.HOP_BY_HOP_HEADERS
         )
-        if get("Transfer-Encoding", "").lower() == "chunked":
-            self._chunks = ChunkDecoder()
-        elif self.status in _BODILESS:
-            self._is_ended = True
-        elif (length := get("Content-Length")) is not None:
-            if not length.isdigit():
-                raise self._error("sent an answer of unknown length", fault="unframed")
-            self._bytes_left = int(length)
-            self._is_ended = self._bytes_left == 0
-        self._take_buffered()
+        self._begin_body()
 
     def _check_request_id(self) -> None:
         """Raise an error unless the answer belongs to this request.
@@ -253,6 +244,23 @@
         )
         raise self._error(reason, fault="crossed")
 
+    def _begin_body(self) -> None:
+        """Determine how the body is delimited.
+
+        :raises AttemptError: if its length is invalid.
+        """
+        get = self._response.headers.get
+        if get("Transfer-Encoding", "").lower() == "chunked":
+            self._chunks = ChunkDecoder()
+        elif self.status in _BODILESS:
+            self._is_ended = True
+        elif (length := get("Content-Length")) is not None:
+            if not length.isdigit():
+                raise self._error("sent an answer of unknown length", fault="unframed")
+            self._bytes_left = int(length)
+            self._is_ended = self._bytes_left == 0
+        self._take_buffered()
+
     def _take_buffered(self) -> None:
         """Take the body bytes that were read with the headers.
 
@@ -272,15 +280,17 @@
 
     def _drain(self) -> None:
         """Read and discard a short answer, so that its connection can be reused."""
-        response = self._response
-        self._connection.reader.set_bounds(MAX_DRAIN_BYTES, DRAIN_TIMEOUT_S)
+        self.ends_at = min(self.ends_at, time.monotonic() + DRAIN_TIMEOUT_S)
+        size = 0
         try:
-            while response.read1(READ_BYTES):
-                pass
-        except CONNECTION_ERRORS:
+            self._begin_body()
+            while data := self.read(DRAIN_TIMEOUT_S):
+                size += len(data)
+                if size > MAX_DRAIN_BYTES:
+                    return
+        except AttemptError:
             return
-        if not response.length and not response.will_close:
-            self._release_connection()
+        self.finish()
 
     def read(self, timeout_s: float) -> bytes:
         """Return the next bytes of the body, empty at its end.
@@ -336,7 +346,8 @@
     def finish(self) -> None:
         """Return the connection to the pool if the answer was read to its end, else close it."""
         has_length = self._chunks is not None or self._bytes_left is not None
-        is_clean = self._is_ended and has_length and not self._has_extra_bytes
+        has_extra_bytes = self._has_extra_bytes or bool(self._buffered)
+        is_clean = self._is_ended and has_length and not has_extra_bytes
         if is_clean and not self._response.will_close and not self._is_aborted:
             self._release_connection()
         else:
--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -41,7 +41,8 @@
     :ivar prefix: makes the bytes to write before each answer from the id of the request.
     :ivar run_ids: ids of the requests that ran.
     :ivar refused: number of requests that were refused.
-    :ivar ports: client port of each request.
+    :ivar run_ports: client ports of the requests that ran.
+    :ivar extra_ports: client ports of connections on which bytes followed a refusal.
     """
 
     def __init__(self, endpoint: str, models: tuple[str, ...] = ()) -> None:
@@ -51,18 +52,19 @@
         self.prefix = lambda request_id: b""
         self.run_ids: list[str] = []
         self.refused = 0
-        self.ports: list[int] = []
+        self.run_ports: list[int] = []
+        self.extra_ports: set[int] = set()
         self._refused_once: set[str] = set()
         self._earlier_by_port: dict[int, bytes] = {}
 
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         request_id, port = request.headers["Attempt-Id"], request.client_address[1]
-        self.ports.append(port)
         try:
             if self._must_refuse(request.path, request_id):
                 self._refuse(request, request_id, port)
                 return
             self.run_ids.append(request_id)
+            self.run_ports.append(port)
             self._write_earlier_refusal(request, port)
             request.wfile.write(self.prefix(request_id))
             super()._handle_request(request)
@@ -82,6 +84,8 @@
         self._earlier_by_port[port] = refusal[half:] if self.repeat == "split" else refusal
         appended = {"appended": refusal, "split": refusal[:half]}.get(self.repeat, b"")
         request.wfile.write(refusal + appended)
+        if appended or self.repeat == "idle":
+            self.extra_ports.add(port)
         if self.repeat == "idle":
             time.sleep(PAUSE_S / 2)
             request.wfile.write(refusal)
@@ -133,6 +137,7 @@
         for endpoint in group:
             endpoint.refused = 0
             endpoint.run_ids.clear()
+            endpoint.run_ports.clear()
         answer, _ = self.send_request("POST", path, b"p", Attempt_Id=EARLIER_ID, **headers)
         self.assertEqual(answer.status, 503)
         self.assertTrue(all(endpoint.refused for endpoint in group))
@@ -197,6 +202,18 @@
                 answer, _ = self.send_request("POST", f"{path}/x", b"p", **headers)
                 self.check_unknown(answer.status, group, 1)
 
+    def test_connection_with_extra_bytes_is_not_used_again(self) -> None:
+        """Guards against reading the rest of a repeated refusal as the next answer."""
+        for repeat in ("appended", "idle"):
+            with self.subTest(repeat=repeat):
+                self.set_repeat(self.plain_endpoints, repeat)
+                self.refuse_earlier_request(self.plain_endpoints, "/look/refused")
+                answer, _ = self.send_request("POST", "/look/x", b"p")
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(self.count_runs(self.plain_endpoints), 1)
+                for endpoint in self.plain_endpoints:
+                    self.assertFalse(endpoint.extra_ports.intersection(endpoint.run_ports))
+
     def test_earlier_refusal_of_the_same_request_is_not_believed(self) -> None:
         """Guards against "not run" when an endpoint is asked again and repeats its refusal.
 
