Skip all interim answers before the final one

Cause: http.client skips interim answers with status 100 only. An answer 103 was taken for the final one, so its headers could declare a request that runs as not run, or its body was the real answer.

Change: every answer with status 1xx is skipped, within the limits on time and bytes of a head.

Evidence: with the code before, test_interim_answer_is_not_taken_for_the_answer fails with "(503, 238) != (200, 80)" for status 103.

--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -111,6 +111,17 @@
         return count
 
 
+class FinalResponse(http.client.HTTPResponse):
+    """Response that skips all interim answers; http.client skips only those with status 100."""
+
+    def begin(self) -> None:
+        """Read the head of the final answer."""
+        super().begin()
+        while 100 <= self.status < 200:
+            self.headers = None
+            super().begin()
+
+
 class CountingConnection(HTTPConnection):
     """Connection that counts the bytes sent for the current request.
 
@@ -182,8 +193,8 @@
         ``Connection: close``. The body still has to be read from the socket, so ``close`` is
         disabled meanwhile. The caller closes response and connection, also after an error.
 
-        :param seconds: timeout for the whole head, which also bounds the number of heads with
-            status 100 that http.client skips.
+        :param seconds: timeout for the whole head, which also bounds the number of interim answers
+            that are skipped.
         """
         self._keep_open = True
         self.reader = BoundedReader(self.sock, MAX_HEAD_BYTES, seconds)
@@ -225,7 +236,7 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
 
     def _make_response(self, *args: object, **kwargs: object) -> http.client.HTTPResponse:
-        self.raw = http.client.HTTPResponse(*args, **kwargs)
+        self.raw = FinalResponse(*args, **kwargs)
         if self.reader is not None:
             self.raw.fp.close()
             self.raw.fp = io.BufferedReader(self.reader)
--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -252,6 +252,20 @@
         answer, _ = self.send_request("POST", "/post/x", b"p")
         self.check_unknown(answer.status, self.plain_endpoints, 1)
 
+    def test_interim_answer_is_not_taken_for_the_answer(self) -> None:
+        """Guards against acting on the headers of an answer with status 1xx."""
+        for status in ("100 Continue", "103 Early Hints"):
+            with self.subTest(status=status):
+                for endpoint in self.plain_endpoints:
+                    endpoint.run_ids.clear()
+                    endpoint.prefix = lambda request_id, status=status: (
+                        f"HTTP/1.1 {status}\r\nNot-Executed: 1\r\n"
+                        f"Attempt-Id: {request_id}\r\n\r\n".encode()
+                    )
+                answer, body = self.send_request("POST", "/post/x", b"p")
+                self.assertEqual((answer.status, len(body)), (200, 80))
+                self.assertEqual(self.count_runs(self.plain_endpoints), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
