Turn 408, 429 and 503 of endpoints into 502 unless marked as not run

Cause: an endpoint's 408, 429 or 503 without Not-Executed was passed on unchanged. PROTOCOL.md says that only an answer with Not-Executed states that the request did not run, but callers take these statuses as that promise.

Change: such an answer counts as an attempt that may have run, and the caller gets 502.

Evidence: with the code before, test_failure_that_promises_not_run_is_not_passed_on fails with "'seal' is not None" for each of the three statuses: the endpoint's answer had been passed on.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -38,6 +38,9 @@
 MAX_LOGGED_ID_LENGTH = 64
 
 _MISDIRECTED = 421
+# Statuses that promise to callers that the request did not run, beside 421. An endpoint states this
+# only with the header ``protocolnames.NOT_RUN``.
+_NOT_RUN_STATUSES = frozenset({408, 429, 503})
 _BODILESS = frozenset({204, 304})
 
 Headers = tuple[tuple[str, str], ...]
@@ -214,6 +217,10 @@
             self._raise_not_run(reason, "absent")
         if get(protocolnames.NOT_RUN) is not None:
             self._raise_not_run(f"answered {self.status} without running the request")
+        if self.status in _NOT_RUN_STATUSES:
+            raise self._error(
+                f"answered {self.status} without stating that it did not run the request"
+            )
         if get(protocolnames.ANSWER_SIGNATURE) is None and self.status < 300:
             raise self._error("sent an answer without a signature", fault="unsigned")
         if get("Content-Encoding") is not None:
--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -266,6 +266,20 @@
                 self.assertEqual((answer.status, len(body)), (200, 80))
                 self.assertEqual(self.count_runs(self.plain_endpoints), 1)
 
+    def test_failure_that_promises_not_run_is_not_passed_on(self) -> None:
+        """Guards against a promise to the caller that the endpoint did not give."""
+        for status in ("408 Request Timeout", "429 Too Many Requests", "503 Unavailable"):
+            with self.subTest(status=status):
+                for endpoint in self.plain_endpoints:
+                    endpoint.run_ids.clear()
+                    endpoint.prefix = lambda request_id, status=status: (
+                        f"HTTP/1.1 {status}\r\nAttempt-Id: {request_id}\r\n"
+                        "Response-Seal: seal\r\nContent-Length: 0\r\n\r\n".encode()
+                    )
+                answer, _ = self.send_request("POST", "/post/x", b"p")
+                self.assertIsNone(answer.headers["Response-Seal"])
+                self.check_unknown(answer.status, self.plain_endpoints, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
