Reject an answer whose head was cut off

Callers could see: a complete 200 with the endpoint's signature and an empty body.

Cause: http.client takes the end of the connection for the end of the head. When the connection ends between two header lines, before Content-Length, the answer has no length, ends with its connection, and so is complete.

Change: while a head is read, the end of the connection is an error.

Evidence: with the code before, test_answer_cut_off_within_its_head_is_not_complete fails with "200 != 502".

--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -78,11 +78,16 @@
 
 
 class BoundedReader(io.RawIOBase):
-    """Raw stream over a socket with limits on the number of bytes and the total time."""
+    """Raw stream over a socket with limits on the number of bytes and the total time.
+
+    :ivar may_end: whether the peer may close the connection. http.client takes a head that is cut
+        off between two lines for a complete one.
+    """
 
     def __init__(self, sock: socket.socket, size: int, seconds: float) -> None:
         super().__init__()
         self._socket = sock
+        self.may_end = True
         self.set_bounds(size, seconds)
 
     def set_bounds(self, size: int, seconds: float) -> None:
@@ -98,6 +103,7 @@
         """Read once.
 
         :raises ConnectionAbortedError: if the limit on bytes is reached.
+        :raises ConnectionResetError: if the peer closed the connection but must not.
         :raises TimeoutError: if the time limit is reached.
         """
         if self._remaining <= 0:
@@ -108,6 +114,10 @@
         self._socket.settimeout(seconds)
         count = self._socket.recv_into(buffer, min(len(buffer), self._remaining))
         self._remaining -= count
+        if not count and not self.may_end:
+            raise ConnectionResetError(
+                "the connection was closed before the answer's head was complete"
+            )
         return count
 
 
@@ -198,9 +208,11 @@
         """
         self._keep_open = True
         self.reader = BoundedReader(self.sock, MAX_HEAD_BYTES, seconds)
+        self.reader.may_end = False
         try:
             return http.client.HTTPConnection.getresponse(self)
         finally:
+            self.reader.may_end = True
             self._keep_open = False
 
     def close(self) -> None:
--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -1,4 +1,4 @@
-"""A refusal counts as "not run" only if it belongs to the request.
+"""A refusal counts as "not run" only if it belongs to the request, and a head only if complete.
 
 The fake endpoints count the requests that they run, so that these tests see what a caller can't.
 """
@@ -280,6 +280,19 @@
                 self.assertIsNone(answer.headers["Response-Seal"])
                 self.check_unknown(answer.status, self.plain_endpoints, 1)
 
+    def test_answer_cut_off_within_its_head_is_not_complete(self) -> None:
+        """Guards against a success without the body whose length was cut off with the head."""
+
+        def write_half_head(request: BaseHTTPRequestHandler) -> None:
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {REQUEST_ID}\r\nResponse-Seal: seal\r\n"
+            request.wfile.write(head.encode())
+            request.close_connection = True
+
+        for endpoint in self.plain_endpoints:
+            endpoint._handle_request = write_half_head
+        answer, _ = self.send_request("POST", "/post/x", b"p")
+        self.assertEqual(answer.status, 502)
+
 
 if __name__ == "__main__":
     unittest.main()
