Send each order to an engine on a new connection

What could happen: an order counts as carried out, or as accepted, though the engine refused it.

Cause: orders and reports shared kept connections, and their answers have no id. A report that the engine writes once more has status 200, which as the reply to an order means "already in effect".

Change: an order has a connection of its own. Reports stay on kept connections: an old report shows its age by its sequence number and start time.

Evidence: with the code before, test_earlier_answer_is_not_taken_for_the_reply_to_an_order fails with "<OrderReply.IN_EFFECT: 'holds'> != <OrderReply.REFUSED: 'refused'>". test_orders_and_reports_share_a_connection keeps its checks; its name and comment said that the connection is shared, so it is test_orders_and_reports_alternate now. test_late_answer_of_the_store_is_not_read_as_the_next passed before, too.

--- a/catkinhook/platform/engineclient.py
+++ b/catkinhook/platform/engineclient.py
@@ -64,9 +64,8 @@
         }
         if order.adapter:
             fields["adapter"] = order.adapter
-        result = self._call(
-            "POST", endpoint, "/order", ORDER_TIMEOUT_S, json.dumps(fields).encode()
-        )
+        body = json.dumps(fields).encode()
+        result = self._call("POST", endpoint, "/order", ORDER_TIMEOUT_S, body)
         if result.is_err():
             return result
         reply = _REPLY_BY_STATUS.get(result.unwrap().status)
@@ -106,8 +105,11 @@
         if body is not None:
             headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         limits = AttemptLimits(timeout_s, timeout_s, MAX_REPORT_BYTES)
+        # Replies have no id, so that on a reused connection a late answer could be taken for the
+        # reply to an order. A late report is harmless: its sequence number shows its age.
+        is_order = body is not None
         try:
-            connection = self._connections.acquire(endpoint.address, limits, False)
+            connection = self._connections.acquire(endpoint.address, limits, is_order)
         except CONNECTION_ERRORS as error:
             return Err(self._error(endpoint, f"can't be reached for {path}: {error}"))
         try:
@@ -118,7 +120,7 @@
         except CONNECTION_ERRORS as error:
             connection.close()
             return Err(self._error(endpoint, f"{method} {path} failed: {error!r}"))
-        if http_response.will_close:
+        if http_response.will_close or is_order:
             connection.close()
         else:
             self._connections.release(endpoint.address, connection)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import re
 import time
 import unittest
+from http.server import BaseHTTPRequestHandler
 from pathlib import Path
 
 from hypothesis import given
@@ -15,7 +16,7 @@
 from catkinhook.platform.protocolnames import OWN_TABLE
 from catkinhook.platform.records import decode_configuration, decode_endpoint, decode_report
 from catkinhook.platform.settingsfile import parse_settings_text
-from catkinhook.platform.storeclient import StoreClient, TableFeed, TableRow
+from catkinhook.platform.storeclient import CALL_TIMEOUT_S, StoreClient, TableFeed, TableRow
 from catkinhook.requests.routetable import RetryMode
 from tests.platform_fakes import FakeEndpoint, FakeStore, make_configuration
 
@@ -133,6 +134,34 @@
         self.assertTrue(decoded.is_ok() or decoded.unwrap_err())
 
 
+class RepeatingEngine(FakeEndpoint):
+    """Fake engine that writes each answer again before the next one on the same connection."""
+
+    def handle(self, request: BaseHTTPRequestHandler) -> None:
+        """Answer one request."""
+        write, answer = request.wfile.write, bytearray()
+        write(getattr(request, "earlier_answer", b""))
+
+        def record(data: bytes) -> int:
+            answer.extend(data)
+            return write(data)
+
+        request.wfile.write = record
+        super().handle(request)
+        request.wfile.write = write
+        request.earlier_answer = bytes(answer)
+
+
+class SlowStore(FakeStore):
+    """Fake store whose first answer arrives after the client's timeout."""
+
+    def handle(self, request: BaseHTTPRequestHandler) -> None:
+        """Answer one call."""
+        if not self.calls:
+            time.sleep(CALL_TIMEOUT_S + 0.2)
+        super().handle(request)
+
+
 class EngineTest(unittest.TestCase):
     """Client for orders and reports of an engine."""
 
@@ -144,8 +173,8 @@
         self.client = EngineClient()
         self.addCleanup(self.client.close)
 
-    def test_orders_and_reports_share_a_connection(self) -> None:
-        """Orders must succeed on a reused connection."""
+    def test_orders_and_reports_alternate(self) -> None:
+        """Orders and reports must succeed one after another."""
         order = SequencedOrder(is_load=True, model="m2", expected=0, holder="h", fence=1)
         self.assertEqual(self.client.order(self.view, order).unwrap(), OrderReply.ACCEPTED)
         self.assertEqual(self.client.order(self.view, order).unwrap(), OrderReply.REFUSED)
@@ -162,6 +191,37 @@
                 self.assertLess(time.monotonic() - began, 3 * REPORT_TIMEOUT_S + 1.0)
 
 
+class RepeatedAnswerTest(unittest.TestCase):
+    """Answers to calls without an id that arrive once more, or late."""
+
+    def test_earlier_answer_is_not_taken_for_the_reply_to_an_order(self) -> None:
+        """Guards against an order that counts as carried out although the engine refused it."""
+        engine = RepeatingEngine("i-e1", ("m1",))
+        engine.start()
+        self.addCleanup(engine.close)
+        view = decode_endpoint("i-e1", json.dumps(engine.entry("llm")).encode()).unwrap()
+        client = EngineClient()
+        self.addCleanup(client.close)
+        accepted = SequencedOrder(is_load=True, model="m2", expected=0, holder="h", fence=1)
+        refused = SequencedOrder(is_load=True, model="m3", expected=7, holder="h", fence=1)
+        self.assertTrue(client.state(view).is_ok())
+        self.assertEqual(client.order(view, refused).unwrap(), OrderReply.REFUSED)
+        self.assertEqual(client.order(view, accepted).unwrap(), OrderReply.ACCEPTED)
+        self.assertEqual(client.order(view, refused).unwrap(), OrderReply.REFUSED)
+
+    def test_late_answer_of_the_store_is_not_read_as_the_next(self) -> None:
+        """Guards against taking the answer to a call that timed out for that of the next call."""
+        store = SlowStore()
+        store.start()
+        self.addCleanup(store.close)
+        client = StoreClient(store.address)
+        self.addCleanup(client.close)
+        row = TableRow(client, OWN_TABLE, "k")
+        self.assertIs(row.write(0, b"one").unwrap_err().effect, Effect.UNKNOWN)
+        time.sleep(0.5)
+        self.assertEqual(row.read().unwrap().value, b"one")
+
+
 class StoreTest(unittest.TestCase):
     """Client of the store."""
 
