Close idle peer connections on which bytes wait

Cause: the check of an idle connection between hosts took waiting bytes for a sign that the peer has kept it open. They belong to no call; the next call would read them as its reply.

Change: a connection on which anything waits is closed and opened anew.

Evidence: with the code before, test_repeated_reply_is_not_read_as_the_next fails with "11 != 21".

--- a/catkinhook/peering/peers.py
+++ b/catkinhook/peering/peers.py
@@ -73,10 +73,15 @@
         self.deadline = clock() + timeout
 
     def isOpen(self) -> bool:  # noqa: N802
-        """Whether the peer has kept the connection open."""
+        """Whether the peer has kept the idle connection open and sent nothing.
+
+        Bytes that arrive between two calls belong to neither; the next call would read them as its
+        reply.
+        """
         try:
             self._socket.settimeout(0)
-            return bool(self._socket.recv(1, socket.MSG_PEEK))
+            self._socket.recv(1, socket.MSG_PEEK)
+            return False
         except BlockingIOError:
             return True
         except OSError:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,13 +7,16 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from catkinhook.addresses import split_address
 from catkinhook.peering import peers
-from catkinhook.peering.peers import PeerClient, PeerPool, PeerServer
+from catkinhook.peering.peers import PeerClient, PeerPool, PeerServer, SocketTransport
 from catkinhook.thrift_gen import ttypes
 from catkinhook.units import KIB
 
+# Version and message type at the start of a reply in the binary protocol.
+REPLY_HEADER = b"\x80\x01\x00\x02"
 SECRET = b"sixteen bytes or more"
 
 
@@ -32,6 +35,14 @@
         return ttypes.ChangeBatch(number + 1, [])
 
 
+class RepeatingTransport(SocketTransport):
+    """Transport that writes each reply twice; calls and the handshake are written once."""
+
+    def write(self, data: bytes) -> None:
+        is_reply = data[4:8] == REPLY_HEADER
+        super().write(data + data if is_reply else data)
+
+
 class PeersTest(unittest.TestCase):
     def setUp(self) -> None:
         self.handler = Handler()
@@ -171,6 +182,14 @@
         time.sleep(0.5)
         self.assertEqual(client.call("changes_after", 20).unwrap().number, 21)
 
+    def test_repeated_reply_is_not_read_as_the_next(self) -> None:
+        """Guards against using an idle connection on which bytes wait that belong to no call."""
+        client = self.make_client()
+        with mock.patch.object(peers, "SocketTransport", RepeatingTransport):
+            self.assertEqual(client.call("changes_after", 10).unwrap().number, 11)
+            time.sleep(0.1)
+            self.assertEqual(client.call("changes_after", 20).unwrap().number, 21)
+
     def test_reconnects_after_the_server_restarted(self) -> None:
         client = self.make_client()
         client.call("changes_after", 1).unwrap()
