Compare the id of gateway answers first in resumes, and reject two ids

Cause: when a gateway resumed a stream, it acted on the boot id and the status of the answer before it compared the id, so another request's answer ended the stream or counted as a crash. Of two ids in one answer, the last one was compared, so a refusal that names another request and this one was believed.

Change: an answer with an id is compared first; an answer to a resume without an id, such as that of an engine that doesn't know the attempt, is on a new connection. All ids of an answer must be the same.

Evidence: with the code before, test_resume_does_not_act_on_the_answer_of_another_request fails with "ReceivedResponse(complete=False, text='own-0') != ReceivedResponse(complete=True, ...)" and test_refusal_of_another_request_is_not_trusted with "(503, 'no') != (502, 'unknown')".

--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -390,11 +390,14 @@
             raise self._make_error("refuses connections", outcome=Outcome.CRASHED) from error
         except CONNECTION_ERRORS as error:
             raise self._make_error(f"could not resume the stream: {error}") from error
+        if "x-request-id" in head.headers:
+            # An engine that doesn't know the attempt answers without an id.
+            self._check_request_id()
         if self._has_restarted(head.headers.get("x-boot-id", "")):
             raise self._make_error("has restarted", outcome=Outcome.CRASHED)
         if head.status != 200:
             raise self._make_error(f"answered {head.status} to a resume", status=head.status)
-        self._check_request_id(head)
+        self._check_request_id()
         self.begin_stream()
         return head
 
@@ -544,7 +547,7 @@
         return ResponseHead(self._response.status, lowered)
 
     def _check_head(self, head: ResponseHead) -> None:
-        self._check_request_id(head)
+        self._check_request_id()
         self.boot_id = head.headers.get("x-boot-id") or self.boot_id
         if head.headers.get("x-not-run") == "1":
             raise self._make_error(
@@ -554,8 +557,9 @@
                 status=head.status,
             )
 
-    def _check_request_id(self, head: ResponseHead) -> None:
-        echoed = head.headers.get("x-request-id", "")
+    def _check_request_id(self) -> None:
+        # ``ResponseHead`` has only the last one of several headers with the same name.
+        echoed = ", ".join(sorted(set(self._response.headers.getlist("X-Request-Id"))))
         if echoed != self.attempt_id:
             reason = f"sent the answer of another request {echoed[:64]!r}"
             raise self._make_error(reason, fault="crossed")
--- a/tests/test_answer_integrity.py
+++ b/tests/test_answer_integrity.py
@@ -10,6 +10,7 @@
 import waitress
 
 from catkinhook.gateway import StaticSnapshotSource, build_kernel
+from catkinhook.requests.outcomes import Outcome
 from tests.gateway_fakes import Cut, FakeEndpoint, RetryingDispatcher, make_settings, make_snapshot
 
 PROMPT = "own"
@@ -155,6 +156,23 @@
         self.engine.on_request = lambda request: (200, {"X-Request-Id": "f" * 32}, body)
         self.assertFalse(read_full_response(self.url).complete)
 
+    def test_resume_does_not_act_on_the_answer_of_another_request(self) -> None:
+        """Guards against ending a stream, or reporting a crash, for another request's answer."""
+        foreign = {"X-Request-Id": "f" * 32, "X-Boot-Id": "another"}
+        for status in (200, 404):
+            with self.subTest(status=status):
+                answers = [(status, foreign, b"{}")]
+
+                def answer_resume(request: object, answers: list = answers) -> tuple | None:
+                    is_resume = request.path.startswith("/v1/streams/")
+                    return answers.pop() if is_resume and answers else None
+
+                self.dispatcher.outcomes.clear()
+                self.engine.on_event = make_hook(_cut, times=1)
+                self.engine.on_request = answer_resume
+                self.assertEqual(read_stream(self.url), ReceivedResponse(True, TEXT))
+                self.assertNotIn(Outcome.CRASHED, self.dispatcher.outcomes)
+
     def test_truncated_full_response_is_refused(self) -> None:
         """Guards against forwarding the part that arrived before the connection was lost."""
         self.engine.on_request = self._send_half
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -168,6 +168,24 @@
         self.assertEqual((answer.status, answer.json()["ran"]), (502, "unknown"))
         self.assertEqual(self.claims.steps, ["claimed", "sent", "lost"])
 
+    def test_refusal_of_another_request_is_not_trusted(self) -> None:
+        """Guards against "not run" for a posting that runs, by a refusal of another request."""
+        own = "{own}"
+        for ids in ([], ["f" * 32], ["f" * 32, own], [own, "f" * 32]):
+            with self.subTest(ids=ids):
+
+                def refuse(request: object, ids: list[str] = ids) -> tuple:
+                    values = [i.format(own=request.headers.get("x-request-id")) for i in ids] or [
+                        ""
+                    ]
+                    lines = "\r\nX-Request-Id: ".join(values)
+                    return 503, {"X-Not-Run": "1", "X-Request-Id": lines}, b"{}"
+
+                self.ledger.on_request = refuse
+                answer = self.post()
+                self.assertEqual((answer.status, answer.json()["ran"]), (502, "unknown"))
+                self.assertEqual(self.claims.steps, ["claimed", "sent", "lost"])
+
 
 if __name__ == "__main__":
     unittest.main()
