Pass on a complete chunked answer although bytes follow it

Callers saw: 502 for requests that an endpoint had run to a good end, and complete streams without their end.

Cause: bytes that arrived together with the last chunk were an error of the coding, and the complete answer before them was dropped. Answers with a length were passed on in the same case.

Change: such an answer is complete, its connection is closed.

Evidence: with the code before, test_stream_is_complete_although_bytes_follow_it fails with "IncompleteRead(80 bytes read)".

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -15,7 +15,7 @@
     ConnectionPool,
     CountingConnection,
 )
-from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError
+from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError, ExtraBytesError
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
@@ -330,13 +330,16 @@
             if self._chunks is not None:
                 if not data:
                     raise ConnectionResetError("it ended before its last chunk")
-                data = self._chunks.feed(data)
+                try:
+                    data = self._chunks.feed(data)
+                except ExtraBytesError as error:
+                    # Bytes after the answer belong to no request; the connection is not reused.
+                    self._has_extra_bytes, data = True, error.content
                 self._is_ended = self._chunks.ended
             elif self._bytes_left is not None:
                 if not data:
                     raise ConnectionResetError(f"it ended {self._bytes_left} bytes early")
                 if len(data) > self._bytes_left:
-                    # Bytes after the answer belong to no request; the connection is not reused.
                     self._has_extra_bytes, data = True, data[: self._bytes_left]
                 self._bytes_left -= len(data)
                 self._is_ended = self._bytes_left == 0
--- a/catkinhook/requests/chunkdecoder.py
+++ b/catkinhook/requests/chunkdecoder.py
@@ -15,6 +15,17 @@
     """The bytes are not valid chunked transfer coding."""
 
 
+class ExtraBytesError(ChunkError):
+    """Bytes follow the last chunk.
+
+    :ivar content: content that was decoded together with them.
+    """
+
+    def __init__(self, content: bytes) -> None:
+        super().__init__("there are bytes after the last chunk")
+        self.content = content
+
+
 class ChunkDecoder:
     """Incremental decoder.
 
@@ -30,7 +41,8 @@
     def feed(self, data: bytes) -> bytes:
         """Decode bytes and return their content.
 
-        :raises ChunkError: if the coding is invalid, or bytes follow its end.
+        :raises ChunkError: if the coding is invalid.
+        :raises ExtraBytesError: if bytes follow its end.
         """
         data = self._pending + data if self._pending else data
         self._pending = b""
@@ -38,7 +50,7 @@
         start, size = 0, len(data)
         while start < size:
             if self.ended:
-                raise ChunkError("there are bytes after the last chunk")
+                raise ExtraBytesError(b"".join(parts))
             if self._remaining > 2:
                 # The line end after a chunk is included in ``_remaining``.
                 part = data[start : start + self._remaining - 2]
--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -17,6 +17,7 @@
 PAUSE_S = 0.05
 # Route "look" and resumable streams of the fake configuration.
 MAX_ATTEMPTS = 2
+LAST_CHUNK = b"0\r\n\r\n"
 MODEL_HEADERS = {"Model": "m1", "Token_Usage": "10,10"}
 
 
@@ -39,6 +40,7 @@
         ``other-connection`` (before the answers on later connections).
     :ivar has_id: whether refusals carry the id of their request.
     :ivar prefix: makes the bytes to write before each answer from the id of the request.
+    :ivar extra: bytes to append to the last chunk of a stream.
     :ivar run_ids: ids of the requests that ran.
     :ivar refused: number of requests that were refused.
     :ivar run_ports: client ports of the requests that ran.
@@ -50,6 +52,7 @@
         self.repeat = ""
         self.has_id = True
         self.prefix = lambda request_id: b""
+        self.extra = b""
         self.run_ids: list[str] = []
         self.refused = 0
         self.run_ports: list[int] = []
@@ -71,6 +74,12 @@
         except OSError:
             request.close_connection = True  # the host closed the connection
 
+    def _send_stream(self, request: BaseHTTPRequestHandler, echoed: str) -> None:
+        write = request.wfile.write
+        request.wfile.write = lambda data: write(data + self.extra if data == LAST_CHUNK else data)
+        super()._send_stream(request, echoed)
+        request.wfile.write = write
+
     def _must_refuse(self, path: str, request_id: str) -> bool:
         if path.endswith("/refused-once") and request_id not in self._refused_once:
             self._refused_once.add(request_id)
@@ -280,6 +289,14 @@
                 self.assertIsNone(answer.headers["Response-Seal"])
                 self.check_unknown(answer.status, self.plain_endpoints, 1)
 
+    def test_stream_is_complete_although_bytes_follow_it(self) -> None:
+        """Guards against breaking off a complete stream for bytes that belong to no request."""
+        for engine in self.engines:
+            engine.extra = render_refusal(EARLIER_ID)
+        for _ in range(3):
+            answer, body = self.send_request("POST", "/digest/x", b"p", **MODEL_HEADERS)
+            self.assertEqual((answer.status, body.count(b"id: ")), (200, 5))
+
     def test_answer_cut_off_within_its_head_is_not_complete(self) -> None:
         """Guards against a success without the body whose length was cut off with the head."""
 
