--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -40,7 +40,7 @@
         ``other-connection`` (before the answers on later connections).
     :ivar has_id: whether refusals carry the id of their request.
     :ivar prefix: makes the bytes to write before each answer from the id of the request.
-    :ivar extra: bytes to append to the last chunk of a stream.
+    :ivar last_chunk: bytes to write where the last chunk of a stream is due.
     :ivar run_ids: ids of the requests that ran.
     :ivar refused: number of requests that were refused.
     :ivar run_ports: client ports of the requests that ran.
@@ -52,7 +52,7 @@
         self.repeat = ""
         self.has_id = True
         self.prefix = lambda request_id: b""
-        self.extra = b""
+        self.last_chunk = LAST_CHUNK
         self.run_ids: list[str] = []
         self.refused = 0
         self.run_ports: list[int] = []
@@ -76,7 +76,7 @@
 
     def _send_stream(self, request: BaseHTTPRequestHandler, echoed: str) -> None:
         write = request.wfile.write
-        request.wfile.write = lambda data: write(data + self.extra if data == LAST_CHUNK else data)
+        request.wfile.write = lambda data: write(self.last_chunk if data == LAST_CHUNK else data)
         super()._send_stream(request, echoed)
         request.wfile.write = write
 
@@ -292,11 +292,19 @@
     def test_stream_is_complete_although_bytes_follow_it(self) -> None:
         """Guards against breaking off a complete stream for bytes that belong to no request."""
         for engine in self.engines:
-            engine.extra = render_refusal(EARLIER_ID)
+            engine.last_chunk = LAST_CHUNK + render_refusal(EARLIER_ID)
         for _ in range(3):
             answer, body = self.send_request("POST", "/digest/x", b"p", **MODEL_HEADERS)
             self.assertEqual((answer.status, body.count(b"id: ")), (200, 5))
 
+    def test_refusal_within_a_stream_is_not_believed(self) -> None:
+        """Guards against sending a stream again that has begun, and against calling it complete."""
+        for engine in self.engines:
+            engine.last_chunk = render_refusal(REQUEST_ID)
+        with self.assertRaises(http.client.IncompleteRead):
+            self.send_request("POST", "/digest/x", b"p", **MODEL_HEADERS)
+        self.assertEqual(self.count_runs(self.engines), 1)
+
     def test_answer_cut_off_within_its_head_is_not_complete(self) -> None:
         """Guards against a success without the body whose length was cut off with the head."""
 
