--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -15,7 +15,7 @@
     ConnectionPool,
     CountingConnection,
 )
-from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError
+from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError, ExtraBytesError
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
@@ -35,7 +35,13 @@
 IDLE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 4.0
 
+# Longest text of foreign request ids in a log line.
+MAX_LOGGED_ID_LENGTH = 64
+
 _MISDIRECTED = 421
+# Statuses that promise to callers that the request did not run, beside 421. An endpoint states this
+# only with the header ``protocolnames.NOT_RUN``.
+_NOT_RUN_STATUSES = frozenset({408, 429, 503})
 _BODILESS = frozenset({204, 304})
 
 Headers = tuple[tuple[str, str], ...]
@@ -48,6 +54,7 @@
     :param headers: headers to forward, including ``Host``.
     :param is_repeatable: whether the request may run twice. Otherwise it is sent on a new
         connection, because the endpoint may close a keep-alive connection while it is being sent.
+        A request that may run twice uses a new connection when it is sent to an address again.
     """
 
     def __init__(
@@ -71,6 +78,7 @@
         self._is_repeatable = is_repeatable
         self._answer: EndpointAnswer | None = None
         self._is_aborted = False
+        self._tried_addresses: set[str] = set()
 
     def open(
         self,
@@ -101,9 +109,11 @@
             answer.abort()
         answer.stop_if_silent = stop_if_silent
         answer.ends_at = time.monotonic() + time_left_s + DEADLINE_GRACE_S
-        answer.send(
-            self._method, self._target, headers, self._body, timeout_s, not self._is_repeatable
-        )
+        # The id can't tell the answers to two attempts of this request on one connection apart.
+        address = assignment.endpoint.address
+        fresh = not self._is_repeatable or address in self._tried_addresses
+        self._tried_addresses.add(address)
+        answer.send(self._method, self._target, headers, self._body, timeout_s, fresh)
         return answer
 
     def abort(self) -> None:
@@ -198,6 +208,7 @@
         response = self._response
         get = response.headers.get
         self.status = response.status
+        self._check_request_id()
         self.load = _parse_load(get(protocolnames.LOAD, ""))
         if self.status == _MISDIRECTED:
             # Checked before the header ``protocolnames.NOT_RUN``, whose reason is less specific.
@@ -207,8 +218,10 @@
             self._raise_not_run(reason, "absent")
         if get(protocolnames.NOT_RUN) is not None:
             self._raise_not_run(f"answered {self.status} without running the request")
-        if get(protocolnames.REQUEST_ID) != self._request_id:
-            raise self._error("sent the answer of another request", fault="crossed")
+        if self.status in _NOT_RUN_STATUSES:
+            raise self._error(
+                f"answered {self.status} without stating that it did not run the request"
+            )
         if get(protocolnames.ANSWER_SIGNATURE) is None and self.status < 300:
             raise self._error("sent an answer without a signature", fault="unsigned")
         if get("Content-Encoding") is not None:
@@ -218,10 +231,32 @@
             for name, value in response.headers.items()
             if name.lower() not in protocolnames.HOP_BY_HOP_HEADERS
         )
-        self._read_framing()
-        self._take_buffered()
+        self._begin_body()
+
+    def _check_request_id(self) -> None:
+        """Raise an error unless the answer belongs to this request.
+
+        A refusal may lack the id, but only on a new connection: on one that carried an earlier
+        request, it may be the refusal of that request.
+        """
+        headers = self._response.headers
+        ids = set(headers.get_all(protocolnames.REQUEST_ID, ()))
+        is_refusal = self.status == _MISDIRECTED or protocolnames.NOT_RUN in headers
+        may_lack_id = is_refusal and not self._connection.is_reused
+        if ids == {self._request_id} or (may_lack_id and not ids):
+            return
+        found = ", ".join(sorted(ids))[:MAX_LOGGED_ID_LENGTH] or "none"
+        kind = "kept" if self._connection.is_reused else "new"
+        reason = (
+            f"sent the answer of another request on a {kind} connection: {self.status}, {found}"
+        )
+        raise self._error(reason, fault="crossed")
 
-    def _read_framing(self) -> None:
+    def _begin_body(self) -> None:
+        """Determine how the body is delimited.
+
+        :raises AttemptError: if that is ambiguous or its length is invalid.
+        """
         get_all = self._response.headers.get_all
         codings = [value.strip().lower() for value in get_all("Transfer-Encoding", [])]
         lengths = {value.strip() for value in get_all("Content-Length", [])}
@@ -236,6 +271,7 @@
             if self._bytes_left is None:
                 raise self._error("sent an answer of unknown length", fault="unframed")
             self._is_ended = self._bytes_left == 0
+        self._take_buffered()
 
     def _take_buffered(self) -> None:
         """Take the body bytes that were read with the headers.
@@ -256,15 +292,17 @@
 
     def _drain(self) -> None:
         """Read and discard a short answer, so that its connection can be reused."""
-        response = self._response
-        self._connection.reader.set_bounds(MAX_DRAIN_BYTES, DRAIN_TIMEOUT_S)
+        self.ends_at = min(self.ends_at, time.monotonic() + DRAIN_TIMEOUT_S)
+        size = 0
         try:
-            while response.read1(READ_BYTES):
-                pass
-        except CONNECTION_ERRORS:
+            self._begin_body()
+            while data := self.read(DRAIN_TIMEOUT_S):
+                size += len(data)
+                if size > MAX_DRAIN_BYTES:
+                    return
+        except AttemptError:
             return
-        if not response.length and not response.will_close:
-            self._release_connection()
+        self.finish()
 
     def read(self, timeout_s: float) -> bytes:
         """Return the next bytes of the body, empty at its end.
@@ -297,13 +335,16 @@
             if self._chunks is not None:
                 if not data:
                     raise ConnectionResetError("it ended before its last chunk")
-                data = self._chunks.feed(data)
+                try:
+                    data = self._chunks.feed(data)
+                except ExtraBytesError as error:
+                    # Bytes after the answer belong to no request; the connection is not reused.
+                    self._has_extra_bytes, data = True, error.content
                 self._is_ended = self._chunks.ended
             elif self._bytes_left is not None:
                 if not data:
                     raise ConnectionResetError(f"it ended {self._bytes_left} bytes early")
                 if len(data) > self._bytes_left:
-                    # Bytes after the answer belong to no request; the connection is not reused.
                     self._has_extra_bytes, data = True, data[: self._bytes_left]
                 self._bytes_left -= len(data)
                 self._is_ended = self._bytes_left == 0
@@ -320,7 +361,8 @@
     def finish(self) -> None:
         """Return the connection to the pool if the answer was read to its end, else close it."""
         has_length = self._chunks is not None or self._bytes_left is not None
-        is_clean = self._is_ended and has_length and not self._has_extra_bytes
+        has_extra_bytes = self._has_extra_bytes or bool(self._buffered)
+        is_clean = self._is_ended and has_length and not has_extra_bytes
         if is_clean and not self._response.will_close and not self._is_aborted:
             self._release_connection()
         else:
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -78,11 +78,16 @@
 
 
 class BoundedReader(io.RawIOBase):
-    """Raw stream over a socket with limits on the number of bytes and the total time."""
+    """Raw stream over a socket with limits on the number of bytes and the total time.
+
+    :ivar may_end: whether the peer may close the connection. http.client takes a head that is cut
+        off between two lines for a complete one.
+    """
 
     def __init__(self, sock: socket.socket, size: int, seconds: float) -> None:
         super().__init__()
         self._socket = sock
+        self.may_end = True
         self.set_bounds(size, seconds)
 
     def set_bounds(self, size: int, seconds: float) -> None:
@@ -98,6 +103,7 @@
         """Read once.
 
         :raises ConnectionAbortedError: if the limit on bytes is reached.
+        :raises ConnectionResetError: if the peer closed the connection but must not.
         :raises TimeoutError: if the time limit is reached.
         """
         if self._remaining <= 0:
@@ -108,11 +114,29 @@
         self._socket.settimeout(seconds)
         count = self._socket.recv_into(buffer, min(len(buffer), self._remaining))
         self._remaining -= count
+        if not count and not self.may_end:
+            raise ConnectionResetError(
+                "the connection was closed before the answer's head was complete"
+            )
         return count
 
 
+class FinalResponse(http.client.HTTPResponse):
+    """Response that skips all interim answers; http.client skips only those with status 100."""
+
+    def begin(self) -> None:
+        """Read the head of the final answer."""
+        super().begin()
+        while 100 <= self.status < 200:
+            self.headers = None
+            super().begin()
+
+
 class CountingConnection(HTTPConnection):
-    """Connection that counts the bytes sent for the current request."""
+    """Connection that counts the bytes sent for the current request.
+
+    :ivar is_reused: whether it carried an earlier request, whose answer may arrive once more.
+    """
 
     def __init__(self, address: str, connect_timeout: float) -> None:
         host, port = split_address(address)
@@ -126,6 +150,7 @@
             ],
         )
         self.bytes_sent = 0
+        self.is_reused = False
         self.idle_since = 0.0
         self.idle_limit = MAX_IDLE_S
         self._buffered: list[bytes] | None = None
@@ -178,14 +203,16 @@
         ``Connection: close``. The body still has to be read from the socket, so ``close`` is
         disabled meanwhile. The caller closes response and connection, also after an error.
 
-        :param seconds: timeout for the whole head, which also bounds the number of heads with
-            status 100 that http.client skips.
+        :param seconds: timeout for the whole head, which also bounds the number of interim answers
+            that are skipped.
         """
         self._keep_open = True
         self.reader = BoundedReader(self.sock, MAX_HEAD_BYTES, seconds)
+        self.reader.may_end = False
         try:
             return http.client.HTTPConnection.getresponse(self)
         finally:
+            self.reader.may_end = True
             self._keep_open = False
 
     def close(self) -> None:
@@ -221,7 +248,7 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
 
     def _make_response(self, *args: object, **kwargs: object) -> http.client.HTTPResponse:
-        self.raw = http.client.HTTPResponse(*args, **kwargs)
+        self.raw = FinalResponse(*args, **kwargs)
         if self.reader is not None:
             self.raw.fp.close()
             self.raw.fp = io.BufferedReader(self.reader)
@@ -258,6 +285,7 @@
 
     def release(self, address: str, connection: CountingConnection) -> None:
         """Return a connection to the pool; its last answer must be read to the end."""
+        connection.is_reused = True
         connection.idle_since = time.monotonic()
         with self._lock:
             idle = self._idle_by_address.setdefault(address, [])
@@ -362,11 +390,14 @@
             raise self._make_error("refuses connections", outcome=Outcome.CRASHED) from error
         except CONNECTION_ERRORS as error:
             raise self._make_error(f"could not resume the stream: {error}") from error
+        if "x-request-id" in head.headers:
+            # An engine that doesn't know the attempt answers without an id.
+            self._check_request_id()
         if self._has_restarted(head.headers.get("x-boot-id", "")):
             raise self._make_error("has restarted", outcome=Outcome.CRASHED)
         if head.status != 200:
             raise self._make_error(f"answered {head.status} to a resume", status=head.status)
-        self._check_request_id(head)
+        self._check_request_id()
         self.begin_stream()
         return head
 
@@ -516,7 +547,7 @@
         return ResponseHead(self._response.status, lowered)
 
     def _check_head(self, head: ResponseHead) -> None:
-        self._check_request_id(head)
+        self._check_request_id()
         self.boot_id = head.headers.get("x-boot-id") or self.boot_id
         if head.headers.get("x-not-run") == "1":
             raise self._make_error(
@@ -526,8 +557,9 @@
                 status=head.status,
             )
 
-    def _check_request_id(self, head: ResponseHead) -> None:
-        echoed = head.headers.get("x-request-id", "")
+    def _check_request_id(self) -> None:
+        # ``ResponseHead`` has only the last one of several headers with the same name.
+        echoed = ", ".join(sorted(set(self._response.headers.getlist("X-Request-Id"))))
         if echoed != self.attempt_id:
             reason = f"sent the answer of another request {echoed[:64]!r}"
             raise self._make_error(reason, fault="crossed")
--- a/tests/hostcase.py
+++ b/tests/hostcase.py
@@ -43,14 +43,17 @@
     """One host with two engines and two plain endpoints.
 
     :cvar bounds: bounds in the host's settings.
+    :cvar endpoint_class: class of the engines and plain endpoints.
     """
 
+    endpoint_class: type[FakeEndpoint] = FakeEndpoint
     bounds = Bounds(lease_s=1.0, grace_s=4.0)
 
     def setUp(self) -> None:
         self.store = FakeStore()
-        self.engines = [FakeEndpoint("i-e1", ("m1",)), FakeEndpoint("i-e2", ("m1", "m2"))]
-        self.plain_endpoints = [FakeEndpoint("i-d1"), FakeEndpoint("i-d2")]
+        make = self.endpoint_class
+        self.engines = [make("i-e1", ("m1",)), make("i-e2", ("m1", "m2"))]
+        self.plain_endpoints = [make("i-d1"), make("i-d2")]
         for fake in (self.store, *self.engines, *self.plain_endpoints):
             fake.start()
             self.addCleanup(fake.close)
