Read a stream on while its engine is silent

Callers saw a stream end midway, without an answer or a refusal, when its engine sent nothing for 1.8 s and went on afterwards. Beside a change of the configuration this counts as a lost request; it happened at any time.

Cause: a stream that may be resumed was given up after SILENCE_TIMEOUT_S, or after 0.9 of the caller's idle timeout, before another engine had been found. If none had the model, none was free, the retry budget was used up or the other engine refused the resume, only the caller's connection was left to close. Silence of an engine does not show that it will not go on.

Once the caller has events, an answer ends at its deadline or when its connection breaks. Silence still moves a request to another engine while the caller has nothing, because it then gets a refusal if no other takes it.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -98,10 +98,15 @@
         self._answer = answer
         if self._is_aborted:
             answer.abort()
-        answer.stop_if_silent = stop_if_silent
         answer.ends_at = time.monotonic() + time_left_s + DEADLINE_GRACE_S
         answer.send(
-            self._method, self._target, headers, self._body, timeout_s, not self._is_repeatable
+            self._method,
+            self._target,
+            headers,
+            self._body,
+            timeout_s,
+            not self._is_repeatable,
+            stop_if_silent,
         )
         return answer
 
@@ -116,7 +121,6 @@
 class EndpointAnswer:
     """An endpoint's answer; used by one thread, except for ``abort``.
 
-    :ivar stop_if_silent: whether to abort before the timeout if the endpoint seems silent.
     :ivar ends_at: time at which an unfinished answer is aborted.
     """
 
@@ -139,7 +143,6 @@
         self._buffered = b""
         self._has_extra_bytes = False
         self._is_aborted = False
-        self.stop_if_silent = False
         self.ends_at = float("inf")
         self.status = 0
         self.headers: Headers = ()
@@ -153,9 +156,11 @@
         body: bytes,
         timeout_s: float,
         fresh: bool,
+        stop_if_silent: bool,
     ) -> None:
         """Send the request and read the status and headers of the answer.
 
+        :param stop_if_silent: whether to stop before the timeout if the endpoint seems silent.
         :raises AttemptError: if this attempt got no valid answer.
         """
         limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
@@ -171,7 +176,7 @@
             raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
         try:
             connection.send_raw(method, target, headers, body)
-            self._wait_for_head(timeout_s)
+            self._wait_for_head(timeout_s, stop_if_silent)
             self._response = connection.read_head(timeout_s)
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
@@ -180,18 +185,20 @@
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._process_head()
 
-    def _wait_for_head(self, timeout_s: float) -> None:
+    def _wait_for_head(self, timeout_s: float, stop_if_silent: bool) -> None:
         sock = self._connection.sock
 
         def peek(seconds: float) -> bytes:
             sock.settimeout(seconds)
             return sock.recv(1, socket.MSG_PEEK)
 
-        self._wait_for_data(peek, timeout_s)
+        self._wait_for_data(peek, timeout_s, stop_if_silent)
 
-    def _wait_for_data(self, read: Callable[[float], bytes], timeout_s: float) -> bytes:
+    def _wait_for_data(
+        self, read: Callable[[float], bytes], timeout_s: float, stop_if_silent: bool
+    ) -> bytes:
         endpoint = self._endpoint.endpoint
-        return read_until_silent(read, self._activity, endpoint, timeout_s, self.stop_if_silent)
+        return read_until_silent(read, self._activity, endpoint, timeout_s, stop_if_silent)
 
     def _process_head(self) -> None:
         response = self._response
@@ -257,18 +264,19 @@
         if not response.length and not response.will_close:
             self._release_connection()
 
-    def read(self, timeout_s: float) -> bytes:
+    def read(self, timeout_s: float, stop_if_silent: bool) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
+        :param stop_if_silent: whether to stop before the timeout if the endpoint seems silent.
         :raises AttemptError: if the answer is incomplete or a read timed out.
         """
         while not self._is_ended:
-            data = self._read_some(timeout_s)
+            data = self._read_some(timeout_s, stop_if_silent)
             if data or self._is_ended:
                 return data
         return b""
 
-    def _read_some(self, timeout_s: float) -> bytes:
+    def _read_some(self, timeout_s: float, stop_if_silent: bool) -> bytes:
         try:
             sock = self._connection.sock
             if sock is None:
@@ -282,7 +290,7 @@
                 return sock.recv(size)
 
             data, self._buffered = self._buffered, b""
-            data = data or self._wait_for_data(read, timeout_s)
+            data = data or self._wait_for_data(read, timeout_s, stop_if_silent)
             if self._is_aborted:
                 raise ConnectionAbortedError("the caller left")
             if self._chunks is not None:
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -56,9 +56,10 @@
     headers: tuple[tuple[str, str], ...]
     load: tuple[int, int] | None
 
-    def read(self, timeout_s: float) -> bytes:
+    def read(self, timeout_s: float, stop_if_silent: bool) -> bytes:
         """Return the next bytes, empty at the end of the body.
 
+        :param stop_if_silent: as for ``Upstream.open``.
         :raises AttemptError: if the connection broke or the timeout passed.
         """
 
@@ -391,28 +392,35 @@
             self.event_order.resume()
         last_event = self.event_order.last if self._is_resume or self.event_order.last else None
         self._forwarder.watch_caller(self)
-        timeout, stop_if_silent = self._header_timeout(time_left), self._may_run_again()
         self._answer = self._upstream.open(
-            assignment, time_left, timeout, last_event, stop_if_silent
+            assignment,
+            time_left,
+            self._silence_timeout(time_left),
+            last_event,
+            self._may_leave_silent(),
         )
         return self._answer
 
-    def _header_timeout(self, time_left: float) -> float:
+    def _read(self, answer: UpstreamAnswer) -> bytes:
+        time_left = max(MIN_ATTEMPT_TIME_S, self.request.deadline - time.monotonic())
+        return answer.read(self._silence_timeout(time_left), self._may_leave_silent())
+
+    def _silence_timeout(self, time_left: float) -> float:
+        """Return the longest wait in seconds for the next bytes of an endpoint."""
         route = self.request.route
-        if not self._may_run_again():
+        if not self._may_leave_silent():
             return time_left
         if route.is_stream:
             return min(time_left, IDLE_TIMEOUT_SHARE * caller_idle_timeout(route))
         return max(MIN_ATTEMPT_TIME_S, time_left * ATTEMPT_TIME_SHARE)
 
-    def _read_timeout(self) -> float:
-        route = self.request.route
-        time_left = max(MIN_ATTEMPT_TIME_S, self.request.deadline - time.monotonic())
-        if not self._may_run_again():
-            return time_left
-        if self.first_received_at is None:
-            return self._header_timeout(time_left)
-        return min(time_left, IDLE_TIMEOUT_SHARE * caller_idle_timeout(route))
+    def _may_leave_silent(self) -> bool:
+        """Whether a silent endpoint may be given up for another one.
+
+        Not once the caller has received events: if no other endpoint takes the stream, its
+        connection could only be closed, and the silent endpoint may go on.
+        """
+        return self.first_received_at is None and self._may_run_again()
 
     def _may_run_again(self) -> bool:
         return (
@@ -421,7 +429,7 @@
 
     def _read_complete_answer(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
         parts, size = [], 0
-        while part := answer.read(self._read_timeout()):
+        while part := self._read(answer):
             parts.append(part)
             size += len(part)
             if size > MAX_ANSWER_BYTES:
@@ -468,7 +476,7 @@
         is_started = False
         unrecorded = 0
         try:
-            while data := answer.read(self._read_timeout()):
+            while data := self._read(answer):
                 events = splitter.feed(data)
                 if not events:
                     continue
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -201,6 +201,7 @@
     :ivar endless_open: endless responses whose connection is still open.
     :ivar events: number of events in a stream.
     :ivar gap_s: pause after each event.
+    :ivar head_pause_s: pause before the head of each answer.
     :ivar pause_s: additional pause after the second event.
     :ivar stop_after: events after which a stream that was not resumed breaks; 0 for never.
     """
@@ -214,6 +215,7 @@
         self.events = 5
         self.stop_after = 0
         self.gap_s = 0.0
+        self.head_pause_s = 0.0
         self.pause_s = 0.0
         self.received: list[ReceivedRequest] = []
         self.orders: list[dict] = []
@@ -277,6 +279,7 @@
 
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         fault, request_id = self.fault, request.headers["Attempt-Id"]
+        time.sleep(self.head_pause_s)
         if fault == "not-run":
             send_json(request, 503, {}, Not_Executed="1", Attempt_Id=request_id)
             return
