Await a silent engine when no other engine can take its request

Callers got 502 for a request whose engine sent nothing for 1.8 s before its answer and answered shortly afterwards, although no other engine could take the request.

Cause: a silent engine was given up before it was known whether another one had the model, had a free place and was within the retry budget. Its work was then lost and the caller was refused.

The scheduler is asked first. A request leaves a silent engine only if it can start elsewhere at once; until then it waits for the engine and asks again every 0.3 s, within the limit that held before.

Evidence: test_engine_that_is_silent_before_its_answer_is_awaited failed before with "Tuples differ: (502, 0) != (200, 5)". test_request_leaves_a_silent_engine_for_a_free_one guards the other side.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -77,7 +77,7 @@
         time_left_s: float,
         timeout_s: float,
         last_event: int | None,
-        stop_if_silent: bool,
+        may_leave: Callable[[], bool],
     ) -> "EndpointAnswer":
         """Send the request and read the status and headers of the answer.
 
@@ -106,7 +106,7 @@
             self._body,
             timeout_s,
             not self._is_repeatable,
-            stop_if_silent,
+            may_leave,
         )
         return answer
 
@@ -156,11 +156,11 @@
         body: bytes,
         timeout_s: float,
         fresh: bool,
-        stop_if_silent: bool,
+        may_leave: Callable[[], bool],
     ) -> None:
         """Send the request and read the status and headers of the answer.
 
-        :param stop_if_silent: whether to stop before the timeout if the endpoint seems silent.
+        :param may_leave: called while the endpoint seems silent; returns whether to stop early.
         :raises AttemptError: if this attempt got no valid answer.
         """
         limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
@@ -176,7 +176,7 @@
             raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
         try:
             connection.send_raw(method, target, headers, body)
-            self._wait_for_head(timeout_s, stop_if_silent)
+            self._wait_for_head(timeout_s, may_leave)
             self._response = connection.read_head(timeout_s)
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
@@ -185,20 +185,20 @@
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._process_head()
 
-    def _wait_for_head(self, timeout_s: float, stop_if_silent: bool) -> None:
+    def _wait_for_head(self, timeout_s: float, may_leave: Callable[[], bool]) -> None:
         sock = self._connection.sock
 
         def peek(seconds: float) -> bytes:
             sock.settimeout(seconds)
             return sock.recv(1, socket.MSG_PEEK)
 
-        self._wait_for_data(peek, timeout_s, stop_if_silent)
+        self._wait_for_data(peek, timeout_s, may_leave)
 
     def _wait_for_data(
-        self, read: Callable[[float], bytes], timeout_s: float, stop_if_silent: bool
+        self, read: Callable[[float], bytes], timeout_s: float, may_leave: Callable[[], bool]
     ) -> bytes:
         endpoint = self._endpoint.endpoint
-        return read_until_silent(read, self._activity, endpoint, timeout_s, stop_if_silent)
+        return read_until_silent(read, self._activity, endpoint, timeout_s, may_leave)
 
     def _process_head(self) -> None:
         response = self._response
@@ -264,19 +264,19 @@
         if not response.length and not response.will_close:
             self._release_connection()
 
-    def read(self, timeout_s: float, stop_if_silent: bool) -> bytes:
+    def read(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
-        :param stop_if_silent: whether to stop before the timeout if the endpoint seems silent.
+        :param may_leave: called while the endpoint seems silent; returns whether to stop early.
         :raises AttemptError: if the answer is incomplete or a read timed out.
         """
         while not self._is_ended:
-            data = self._read_some(timeout_s, stop_if_silent)
+            data = self._read_some(timeout_s, may_leave)
             if data or self._is_ended:
                 return data
         return b""
 
-    def _read_some(self, timeout_s: float, stop_if_silent: bool) -> bytes:
+    def _read_some(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
         try:
             sock = self._connection.sock
             if sock is None:
@@ -290,7 +290,7 @@
                 return sock.recv(size)
 
             data, self._buffered = self._buffered, b""
-            data = data or self._wait_for_data(read, timeout_s, stop_if_silent)
+            data = data or self._wait_for_data(read, timeout_s, may_leave)
             if self._is_aborted:
                 raise ConnectionAbortedError("the caller left")
             if self._chunks is not None:
--- a/catkinhook/requests/endpointactivity.py
+++ b/catkinhook/requests/endpointactivity.py
@@ -9,6 +9,8 @@
 # several long prompts sends nothing for over a second; callers close a stream after two seconds or
 # more.
 SILENCE_TIMEOUT_S = 1.8
+# Time between two attempts to leave a silent endpoint; a place elsewhere may become free meanwhile.
+LEAVE_CHECK_INTERVAL_S = 0.3
 MAX_ENDPOINTS = 4096
 
 
@@ -43,25 +45,27 @@
     activity: EndpointActivity,
     endpoint: str,
     timeout_s: float,
-    stop_if_silent: bool,
+    may_leave: Callable[[], bool],
 ) -> bytes:
     """Read from an endpoint; give up after the timeout or when the endpoint is silent.
 
     :param read: reads with a timeout in seconds, and raises ``TimeoutError`` after it.
     :param timeout_s: longest wait in seconds, even if the endpoint sends data to other requests.
-    :param stop_if_silent: whether to give up early on a silent endpoint. A request that can't run
-        elsewhere gains nothing by that.
+    :param may_leave: called while the endpoint is silent; returns whether to give up on it early. A
+        request that can't run elsewhere gains nothing by that, and a silent endpoint may go on.
     :raises TimeoutError: after the timeout or when the endpoint is silent.
     """
     since = time.monotonic()
+    wait_s = SILENCE_TIMEOUT_S
     while True:
         waited = time.monotonic() - since
         try:
-            data = read(max(0.001, min(SILENCE_TIMEOUT_S, timeout_s - waited)))
+            data = read(max(0.001, min(wait_s, timeout_s - waited)))
         except TimeoutError:
             is_timed_out = time.monotonic() - since >= timeout_s
-            if is_timed_out or (stop_if_silent and activity.is_silent(endpoint, since)):
+            if is_timed_out or (activity.is_silent(endpoint, since) and may_leave()):
                 raise
+            wait_s = LEAVE_CHECK_INTERVAL_S
             continue
         activity.record(endpoint)
         return data
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -56,10 +56,10 @@
     headers: tuple[tuple[str, str], ...]
     load: tuple[int, int] | None
 
-    def read(self, timeout_s: float, stop_if_silent: bool) -> bytes:
+    def read(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
         """Return the next bytes, empty at the end of the body.
 
-        :param stop_if_silent: as for ``Upstream.open``.
+        :param may_leave: as for ``Upstream.open``.
         :raises AttemptError: if the connection broke or the timeout passed.
         """
 
@@ -82,15 +82,15 @@
         time_left_s: float,
         timeout_s: float,
         last_event: int | None,
-        stop_if_silent: bool,
+        may_leave: Callable[[], bool],
     ) -> UpstreamAnswer:
         """Send the request and read the head of the answer.
 
         :param time_left_s: deadline that is sent to the endpoint, in seconds from now.
         :param timeout_s: timeout for the head.
         :param last_event: number of the last event that the caller received, None for none.
-        :param stop_if_silent: whether to stop before the timeout if the endpoint sends nothing to
-            any request.
+        :param may_leave: called while the endpoint sends nothing to any request; returns whether to
+            stop before the timeout.
         :raises AttemptError: if no answer to this attempt was received.
         """
 
@@ -188,6 +188,13 @@
             return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
         return decisions[0]
 
+    def can_move(self, job: "_Job") -> bool:
+        """Return whether a request could be sent to another endpoint at once."""
+        now = time.monotonic()
+        return self._scheduler.ask(
+            lambda scheduler: scheduler.can_move(job.request, job.tried_endpoints, now)
+        )
+
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
 
@@ -397,13 +404,13 @@
             time_left,
             self._silence_timeout(time_left),
             last_event,
-            self._may_leave_silent(),
+            self._can_move,
         )
         return self._answer
 
     def _read(self, answer: UpstreamAnswer) -> bytes:
         time_left = max(MIN_ATTEMPT_TIME_S, self.request.deadline - time.monotonic())
-        return answer.read(self._silence_timeout(time_left), self._may_leave_silent())
+        return answer.read(self._silence_timeout(time_left), self._can_move)
 
     def _silence_timeout(self, time_left: float) -> float:
         """Return the longest wait in seconds for the next bytes of an endpoint."""
@@ -422,6 +429,10 @@
         """
         return self.first_received_at is None and self._may_run_again()
 
+    def _can_move(self) -> bool:
+        """Whether a silent endpoint should be given up, because another one is free."""
+        return self._may_leave_silent() and self._forwarder.can_move(self)
+
     def _may_run_again(self) -> bool:
         return (
             self.request.is_repeatable and self.attempts_run + 1 < self.request.route.max_attempts
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -238,6 +238,17 @@
             return None
         return self._enqueue(PendingRequest(request, exclude, on_decision, now, ran), now)
 
+    def can_move(self, request: RoutedRequest, exclude: frozenset[str], now: float) -> bool:
+        """Return whether a request that may have run could start at once at another endpoint.
+
+        :param exclude: endpoints that earlier attempts used.
+        """
+        moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN)
+        budget = self._retry_budget(request.service)
+        return budget.may_withdraw(self.host_count, now) and bool(
+            self._usable_endpoints(moved, now)
+        )
+
     def cancel(self, pending: PendingRequest) -> None:
         """Remove a queued request, for example because its caller disconnected."""
         if pending in self._queue:
--- a/catkinhook/requests/retries.py
+++ b/catkinhook/requests/retries.py
@@ -142,6 +142,16 @@
     def try_withdraw(self, host_count: int, now: float) -> bool:
         """Withdraw one retry from the budget, or return False if it is used up.
 
+        :param host_count: number of hosts among which the slack is divided.
+        """
+        if not self.may_withdraw(host_count, now):
+            return False
+        self._retries.append(now)
+        return True
+
+    def may_withdraw(self, host_count: int, now: float) -> bool:
+        """Return whether the budget permits a retry.
+
         :param host_count: number of hosts among which the slack is divided.
         """
         self._prune(now)
@@ -152,10 +162,7 @@
         allowed = self.share * min(len(self._requests), recent)
         warmup = min(1.0, (now - self.started_at) / self.window_s)
         slack = warmup * self.slack * SLACK_SHARE / max(1, host_count)
-        if len(self._retries) + 1 > allowed + slack:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed + slack
 
     def _prune(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/tests/test_request_lost.py
+++ b/tests/test_request_lost.py
@@ -99,6 +99,27 @@
             time.sleep(0.1)
         self.check_complete([stream])
 
+    def test_engine_that_is_silent_before_its_answer_is_awaited(self) -> None:
+        """A request must not be given up for the silence of the only engine that can run it."""
+        self.engines[1].head_pause_s = SHORT_SILENCE_S
+        streams = [self.start_stream("m2") for _ in range(STREAMS)]
+        time.sleep(SILENCE_TIMEOUT_S / 2)
+        self.put_configuration()
+        self.check_complete(streams)
+
+    def test_request_leaves_a_silent_engine_for_a_free_one(self) -> None:
+        """A request must not wait for a silent engine while another one is free."""
+        for engine in self.engines:
+            engine.head_pause_s = LONG_SILENCE_S + SHORT_SILENCE_S
+        began = time.monotonic()
+        stream = self.start_stream()
+        running = self.find_running_engine()
+        for engine in self.engines:
+            if engine is not running:
+                engine.head_pause_s = 0.0
+        self.check_complete([stream])
+        self.assertLess(time.monotonic() - began, LONG_SILENCE_S)
+
     def test_configurations_do_not_end_running_streams(self) -> None:
         """A stream must go on by the configuration under which it began."""
         for engine in self.engines:
