Refuse requests that arrive while a stopping host ends

A caller's request on a kept connection could be passed to an endpoint and cut when a planned stop ended its process.

Cause: the stop waits until no request is in progress, then flushes the log for up to 0.5 s and exits. Requests that arrived meanwhile were still passed on. From the check on, the host now refuses them with 503, which callers may send elsewhere.

Evidence: test_stopping_host_passes_on_no_request_that_it_can_not_finish failed before with "First differing element 0: 200 503".

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -300,8 +300,8 @@
         self.lease.resign()
         deadline = began + self._settings.bounds.grace_s - KILL_MARGIN_S
         while time.monotonic() < deadline:
-            is_idle = not self.state.in_progress and self.front.server.is_flushed()
-            if is_idle and time.monotonic() - began >= UNREADY_NOTICE_S:
+            is_noticed = time.monotonic() - began >= UNREADY_NOTICE_S
+            if is_noticed and self.state.close_if_idle() and self.front.server.is_flushed():
                 break
             time.sleep(STOP_POLL_S)
         self.log.record("process", outcome="stopped", in_progress=self.state.in_progress)
--- a/catkinhook/hoststate.py
+++ b/catkinhook/hoststate.py
@@ -31,6 +31,7 @@
         self._lock = threading.Lock()
         self._stop_requested_at: float | None = None
         self._was_ready = False
+        self._is_closed = False
         self.in_progress = 0
 
     @property
@@ -39,9 +40,12 @@
         return self._stop_requested_at is not None
 
     def begin_request(self) -> bool:
-        """Count a new request, unless the limit is reached; return whether it was counted."""
+        """Count a new request and return true, or return false if it must be refused.
+
+        It is refused at the limit of requests and after ``close_if_idle``.
+        """
         with self._lock:
-            if self.in_progress >= self._max_requests:
+            if self._is_closed or self.in_progress >= self._max_requests:
                 return False
             self.in_progress += 1
             return True
@@ -51,6 +55,15 @@
         with self._lock:
             self.in_progress -= 1
 
+    def close_if_idle(self) -> bool:
+        """Refuse all later requests if none is in progress; return whether that is so.
+
+        A request that is passed on while the process ends would be cut.
+        """
+        with self._lock:
+            self._is_closed = self._is_closed or not self.in_progress
+            return self._is_closed
+
     def stop(self) -> None:
         """Mark the host as stopping, which makes it not ready."""
         self._stop_requested_at = time.monotonic()
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -69,7 +69,8 @@
         arrived = time.monotonic()
         if not self._state.begin_request():
             return self._refuse(
-                _make_busy_refusal("the host is at its limit of requests"), start_response
+                _make_busy_refusal("the host is at its limit of requests or stopping"),
+                start_response,
             )
         try:
             result = self._handle(environ, arrived)
--- a/tests/test_request_lost.py
+++ b/tests/test_request_lost.py
@@ -148,6 +148,22 @@
         for caller in callers:
             self.assertLessEqual(caller.result(timeout=WAIT_S), {200, 404, 503})
 
+    def test_stopping_host_passes_on_no_request_that_it_can_not_finish(self) -> None:
+        """A request that arrives when a stop has ended its wait must be refused, not cut."""
+        answers = []
+        close_log = self.host.log.close
+
+        def close() -> None:
+            self.host.log.close = close_log
+            # A longer deadline than the time that remains is refused in any case.
+            answers.append(self.send_request("GET", "/look/x", Deadline_Ms="300")[0])
+            close_log()
+
+        self.host.log.close = close
+        self.host.stop()
+        self.assertEqual([answer.status for answer in answers], [503])
+        self.assertEqual(self.received_requests(self.plain_endpoints), [])
+
     def put_changed_configuration(self) -> None:
         """Write a configuration that differs in routes, services, timeouts and limits."""
         configuration = make_configuration(self.version + 1)
