Log the time limits of a request

A stream that is broken off at its deadline could not be told from one that is broken off early: the request line had the time that passed, not the time that was allowed.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -253,6 +253,8 @@
             "ran": job.ran.value,
             "waited_s": round(job.waited_s, 3),
             "total_s": round(now - request.arrived, 3),
+            "limit_s": round(request.deadline - request.arrived, 3),
+            "route_limit_s": request.route.timeout_s,
             "configuration": request.configuration,
         }
         if job.first_received_at is not None:
