Take a connection that the kernel closed for broken, not for silent

After ETIMEDOUT the next read of a socket returns no bytes, which is also the end of an answer without a length. A caller could get such an answer as complete; a request without an answer was counted as a crash of its endpoint.

Cause: Python raises TimeoutError both for its own read timeout and for ETIMEDOUT, and the wait for a silent endpoint repeated the read after either. Only the first is a pause. An endpoint that can't be reached is not taken for one that the request crashed.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -1,6 +1,7 @@
 """HTTP client that forwards one caller's request to the platform's endpoints."""
 
 import contextlib
+import errno
 import http.client
 import socket
 import time
@@ -180,8 +181,7 @@
             self._response = connection.read_head(timeout_s)
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
-            is_silent = isinstance(error, TimeoutError)
-            outcome = Outcome.BROKEN if is_silent or ran is Ran.NO else Outcome.CRASHED
+            outcome = Outcome.BROKEN if ran is Ran.NO else _find_outcome(error)
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._process_head()
 
@@ -312,7 +312,7 @@
         except TimeoutError as error:
             raise self._error(f"was silent for {timeout_s:.2f} s") from error
         except (ChunkError, *CONNECTION_ERRORS) as error:
-            outcome = Outcome.CANCELLED if self._is_aborted else Outcome.CRASHED
+            outcome = Outcome.CANCELLED if self._is_aborted else _find_outcome(error)
             raise self._error(f"broke off its answer: {error!r}", outcome=outcome) from error
         return data
 
@@ -365,6 +365,16 @@
         return AttemptError(STEP, peer, f"endpoint {reason}", ran, status, outcome, fault)
 
 
+def _find_outcome(error: Exception) -> Outcome:
+    """Return the outcome of an attempt that may have run and whose connection failed.
+
+    An endpoint that is silent or can't be reached may be running; its request hasn't crashed it.
+    """
+    is_silent = isinstance(error, TimeoutError)
+    is_unreachable = getattr(error, "errno", None) == errno.ETIMEDOUT
+    return Outcome.BROKEN if is_silent or is_unreachable else Outcome.CRASHED
+
+
 def _parse_load(text: str) -> tuple[int, int] | None:
     parts = text.split(",")
     if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
--- a/catkinhook/requests/endpointactivity.py
+++ b/catkinhook/requests/endpointactivity.py
@@ -49,11 +49,12 @@
 ) -> bytes:
     """Read from an endpoint; give up after the timeout or when the endpoint is silent.
 
-    :param read: reads with a timeout in seconds, and raises ``TimeoutError`` after it.
+    :param read: reads a socket with a timeout in seconds, and raises ``TimeoutError`` after it.
     :param timeout_s: longest wait in seconds, even if the endpoint sends data to other requests.
     :param may_leave: called while the endpoint is silent; returns whether to give up on it early. A
         request that can't run elsewhere gains nothing by that, and a silent endpoint may go on.
     :raises TimeoutError: after the timeout or when the endpoint is silent.
+    :raises ConnectionResetError: if the kernel closed the connection of an endpoint that is gone.
     """
     since = time.monotonic()
     wait_s = SILENCE_TIMEOUT_S
@@ -61,7 +62,10 @@
         waited = time.monotonic() - since
         try:
             data = read(max(0.001, min(wait_s, timeout_s - waited)))
-        except TimeoutError:
+        except TimeoutError as error:
+            if error.errno is not None:
+                # ETIMEDOUT. The next read would return no bytes, like the end of an answer.
+                raise ConnectionResetError(error.errno, "the endpoint is gone") from error
             is_timed_out = time.monotonic() - since >= timeout_s
             if is_timed_out or (activity.is_silent(endpoint, since) and may_leave()):
                 raise
--- a/tests/test_hostscheduler.py
+++ b/tests/test_hostscheduler.py
@@ -291,6 +291,15 @@
             self.scheduler.suspects.record(EventKind.CRASH, "bad", "m1", self.now, endpoint, "1")
         self.assertEqual(self.submit("bad").code, "quarantined")
 
+    def test_request_leaves_a_silent_engine_only_for_a_free_one(self) -> None:
+        """A request must not be given up at one engine before another one can take it."""
+        request = self.make_request("r1")
+        tried = frozenset({"e1"})
+        self.assertTrue(self.scheduler.can_move(request, tried, self.now))
+        self.assertFalse(self.scheduler.can_move(request, tried | {"e2"}, self.now))
+        self.fill_slots()
+        self.assertFalse(self.scheduler.can_move(request, tried, self.now))
+
     def test_stopping_host_refuses_queued_requests(self) -> None:
         """Guards against requests that stay queued until the process exits."""
         self.fill_slots()
--- a/tests/test_request_lost.py
+++ b/tests/test_request_lost.py
@@ -1,12 +1,17 @@
 """A request that was read gets an answer or a refusal, also beside silence and configurations."""
 
+import errno
 import http.client
 import threading
 import time
 import unittest
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from catkinhook.requests.endpointactivity import SILENCE_TIMEOUT_S
+from catkinhook.requests.endpointactivity import (
+    SILENCE_TIMEOUT_S,
+    EndpointActivity,
+    read_until_silent,
+)
 from tests.hostcase import WAIT_S, HostCase, wait_until
 from tests.platform_fakes import FakeEndpoint, make_configuration
 
@@ -208,5 +213,22 @@
         return statuses
 
 
+class UnreachableEndpointTest(unittest.TestCase):
+    """Connections that the kernel closes because their peer is gone."""
+
+    def test_connection_closed_by_the_kernel_does_not_look_like_the_end_of_an_answer(self) -> None:
+        """ETIMEDOUT must not be taken for a pause, after which the next read returns no bytes."""
+        results = [OSError(errno.ETIMEDOUT, "Connection timed out"), b""]
+
+        def read(timeout_s: float) -> bytes:
+            result = results.pop(0)
+            if isinstance(result, Exception):
+                raise result
+            return result
+
+        with self.assertRaises(ConnectionResetError):
+            read_until_silent(read, EndpointActivity(), "i-e1", WAIT_S, lambda: False)
+
+
 if __name__ == "__main__":
     unittest.main()
