Notice an engine that is gone while it streams

A stream whose engine lost power or whose connection had gone silent for good waited for its deadline or until its caller left, now that silence alone does not end it.

The kernel probes the peer of a request that may go on elsewhere: after 2 s without any packet the connection is broken and the stream is resumed at another engine. An engine that is only silent answers the probes. Requests that may run once are not probed; closing their connection could only end them.

test_peer_of_a_stream_is_probed checks the socket options.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -176,6 +176,10 @@
         if self._is_aborted:
             raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
         try:
+            if not fresh:
+                # A request that may run only once can't go on elsewhere, and an endpoint that
+                # can't be reached for some seconds may still finish it.
+                connection.probe_peer()
             connection.send_raw(method, target, headers, body)
             self._wait_for_head(timeout_s, may_leave)
             self._response = connection.read_head(timeout_s)
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -26,6 +26,10 @@
 MAX_IDLE_S = 20.0
 # TCP_USER_TIMEOUT: the kernel closes a connection whose bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 2000
+# A TCP keep-alive probe is sent after this time without data, and the kernel closes the connection
+# if nothing comes within the same time again. A peer whose process is only silent answers it.
+KEEP_ALIVE_S = 1
+KEEP_ALIVE_PROBES = 1
 LAST_CHUNK_TIMEOUT_S = 0.02
 MAX_REPORT_BYTES = 4 * MIB
 READ_BYTES = 64 << 10
@@ -130,6 +134,7 @@
         self.idle_limit = MAX_IDLE_S
         self._buffered: list[bytes] | None = None
         self._keep_open = False
+        self._has_probes = False
         self.raw: http.client.HTTPResponse | None = None
         self.reader: BoundedReader | None = None
         self.response_class = self._make_response
@@ -213,6 +218,16 @@
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
+    def probe_peer(self) -> None:
+        """Let the kernel probe an idle peer, and close the connection if it is gone."""
+        if self._has_probes:
+            return
+        self._has_probes = True
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
     def set_gap_timeout(self, seconds: float) -> None:
         """Set the read timeout in the kernel; Python's own costs a second system call per read."""
         whole = int(seconds)
--- a/tests/test_request_lost.py
+++ b/tests/test_request_lost.py
@@ -2,11 +2,13 @@
 
 import errno
 import http.client
+import socket
 import threading
 import time
 import unittest
 from concurrent.futures import Future, ThreadPoolExecutor
 
+from catkinhook.requests.attempts import CountingConnection
 from catkinhook.requests.endpointactivity import (
     SILENCE_TIMEOUT_S,
     EndpointActivity,
@@ -229,6 +231,18 @@
         with self.assertRaises(ConnectionResetError):
             read_until_silent(read, EndpointActivity(), "i-e1", WAIT_S, lambda: False)
 
+    def test_peer_of_a_stream_is_probed(self) -> None:
+        """A stream must not wait until its deadline for an engine that is gone."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            connection = CountingConnection(f"127.0.0.1:{listener.getsockname()[1]}", WAIT_S)
+            self.addCleanup(connection.close)
+            connection.connect()
+            connection.probe_peer()
+            get = connection.sock.getsockopt
+            self.assertEqual(get(socket.SOL_SOCKET, socket.SO_KEEPALIVE), 1)
+            for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT):
+                self.assertEqual(get(socket.IPPROTO_TCP, option), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
