Give a machine that stands still three seconds before its streams move

With probes alone after 1 s, a machine that answered no packet for 2 s lost the streams that it was about to go on with. It has 3 s now. Callers that wait for less than that leave by themselves.

--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -26,9 +26,11 @@
 MAX_IDLE_S = 20.0
 # TCP_USER_TIMEOUT: the kernel closes a connection whose bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 2000
-# A TCP keep-alive probe is sent after this time without data, and the kernel closes the connection
-# if nothing comes within the same time again. A peer whose process is only silent answers it.
-KEEP_ALIVE_S = 1
+# A TCP keep-alive probe is sent after KEEP_ALIVE_IDLE_S without data, and the kernel closes the
+# connection if nothing comes within KEEP_ALIVE_INTERVAL_S after it. A peer whose process is only
+# silent answers the probe; one whose machine stands still for a second or two is not given up.
+KEEP_ALIVE_IDLE_S = 2
+KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 1
 LAST_CHUNK_TIMEOUT_S = 0.02
 MAX_REPORT_BYTES = 4 * MIB
@@ -224,8 +226,8 @@
             return
         self._has_probes = True
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
 
     def set_gap_timeout(self, seconds: float) -> None:
