--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -28,8 +28,8 @@
 STEP = "forwarding"
 # Attempts of one request, including those that an endpoint refused without running the request.
 MAX_ATTEMPTS = 6
-# Share of the caller's idle timeout after which an attempt is abandoned, even if the endpoint still
-# sends data to other requests.
+# Share of the caller's idle timeout after which an attempt without an event is abandoned, even if
+# the endpoint still sends data to other requests.
 IDLE_TIMEOUT_SHARE = 0.9
 # Events of a stream between two updates of the estimated decode speed.
 RECORD_INTERVAL_EVENTS = 8
