--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -1,6 +1,7 @@
 """HTTP client that forwards one caller's request to the platform's endpoints."""
 
 import contextlib
+import errno
 import http.client
 import socket
 import time
@@ -86,7 +87,7 @@
         time_left_s: float,
         timeout_s: float,
         last_event: int | None,
-        stop_if_silent: bool,
+        may_leave: Callable[[], bool],
     ) -> "EndpointAnswer":
         """Send the request and read the status and headers of the answer.
 
@@ -107,13 +108,15 @@
         self._answer = answer
         if self._is_aborted:
             answer.abort()
-        answer.stop_if_silent = stop_if_silent
         answer.ends_at = time.monotonic() + time_left_s + DEADLINE_GRACE_S
+        # A request that may run only once can't go on elsewhere, and an endpoint that can't be
+        # reached for some seconds may still finish it.
+        answer.probes_peer = self._is_repeatable
         # The id can't tell the answers to two attempts of this request on one connection apart.
         address = assignment.endpoint.address
         fresh = not self._is_repeatable or address in self._tried_addresses
         self._tried_addresses.add(address)
-        answer.send(self._method, self._target, headers, self._body, timeout_s, fresh)
+        answer.send(self._method, self._target, headers, self._body, timeout_s, fresh, may_leave)
         return answer
 
     def abort(self) -> None:
@@ -127,7 +130,8 @@
 class EndpointAnswer:
     """An endpoint's answer; used by one thread, except for ``abort``.
 
-    :ivar stop_if_silent: whether to abort before the timeout if the endpoint seems silent.
+    :ivar probes_peer: whether the kernel probes an endpoint that sends nothing, and closes the
+        connection if it is gone.
     :ivar ends_at: time at which an unfinished answer is aborted.
     """
 
@@ -150,7 +154,7 @@
         self._buffered = b""
         self._has_extra_bytes = False
         self._is_aborted = False
-        self.stop_if_silent = False
+        self.probes_peer = False
         self.ends_at = float("inf")
         self.status = 0
         self.headers: Headers = ()
@@ -164,9 +168,11 @@
         body: bytes,
         timeout_s: float,
         fresh: bool,
+        may_leave: Callable[[], bool],
     ) -> None:
         """Send the request and read the status and headers of the answer.
 
+        :param may_leave: called while the endpoint seems silent; returns whether to stop early.
         :raises AttemptError: if this attempt got no valid answer.
         """
         limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
@@ -181,28 +187,31 @@
         if self._is_aborted:
             raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
         try:
+            if self.probes_peer:
+                connection.probe_peer()
             connection.send_raw(method, target, headers, body)
-            self._wait_for_head(timeout_s)
+            self._wait_for_head(timeout_s, may_leave)
             self._response = connection.read_head(timeout_s)
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
-            is_silent = isinstance(error, TimeoutError)
-            outcome = Outcome.BROKEN if is_silent or ran is Ran.NO else Outcome.CRASHED
+            outcome = Outcome.BROKEN if ran is Ran.NO else _find_outcome(error)
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._process_head()
 
-    def _wait_for_head(self, timeout_s: float) -> None:
+    def _wait_for_head(self, timeout_s: float, may_leave: Callable[[], bool]) -> None:
         sock = self._connection.sock
 
         def peek(seconds: float) -> bytes:
             sock.settimeout(seconds)
             return sock.recv(1, socket.MSG_PEEK)
 
-        self._wait_for_data(peek, timeout_s)
+        self._wait_for_data(peek, timeout_s, may_leave)
 
-    def _wait_for_data(self, read: Callable[[float], bytes], timeout_s: float) -> bytes:
+    def _wait_for_data(
+        self, read: Callable[[float], bytes], timeout_s: float, may_leave: Callable[[], bool]
+    ) -> bytes:
         endpoint = self._endpoint.endpoint
-        return read_until_silent(read, self._activity, endpoint, timeout_s, self.stop_if_silent)
+        return read_until_silent(read, self._activity, endpoint, timeout_s, may_leave)
 
     def _process_head(self) -> None:
         response = self._response
@@ -296,7 +305,7 @@
         size = 0
         try:
             self._begin_body()
-            while data := self.read(DRAIN_TIMEOUT_S):
+            while data := self.read(DRAIN_TIMEOUT_S, lambda: False):
                 size += len(data)
                 if size > MAX_DRAIN_BYTES:
                     return
@@ -304,18 +313,19 @@
             return
         self.finish()
 
-    def read(self, timeout_s: float) -> bytes:
+    def read(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
+        :param may_leave: called while the endpoint seems silent; returns whether to stop early.
         :raises AttemptError: if the answer is incomplete or a read timed out.
         """
         while not self._is_ended:
-            data = self._read_some(timeout_s)
+            data = self._read_some(timeout_s, may_leave)
             if data or self._is_ended:
                 return data
         return b""
 
-    def _read_some(self, timeout_s: float) -> bytes:
+    def _read_some(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
         try:
             sock = self._connection.sock
             if sock is None:
@@ -329,7 +339,7 @@
                 return sock.recv(size)
 
             data, self._buffered = self._buffered, b""
-            data = data or self._wait_for_data(read, timeout_s)
+            data = data or self._wait_for_data(read, timeout_s, may_leave)
             if self._is_aborted:
                 raise ConnectionAbortedError("the caller left")
             if self._chunks is not None:
@@ -354,7 +364,7 @@
         except TimeoutError as error:
             raise self._error(f"was silent for {timeout_s:.2f} s") from error
         except (ChunkError, *CONNECTION_ERRORS) as error:
-            outcome = Outcome.CANCELLED if self._is_aborted else Outcome.CRASHED
+            outcome = Outcome.CANCELLED if self._is_aborted else _find_outcome(error)
             raise self._error(f"broke off its answer: {error!r}", outcome=outcome) from error
         return data
 
@@ -408,6 +418,16 @@
         return AttemptError(STEP, peer, f"endpoint {reason}", ran, status, outcome, fault)
 
 
+def _find_outcome(error: Exception) -> Outcome:
+    """Return the outcome of an attempt that may have run and whose connection failed.
+
+    An endpoint that is silent or can't be reached may be running; its request hasn't crashed it.
+    """
+    is_silent = isinstance(error, TimeoutError)
+    is_unreachable = getattr(error, "errno", None) == errno.ETIMEDOUT
+    return Outcome.BROKEN if is_silent or is_unreachable else Outcome.CRASHED
+
+
 def _parse_load(text: str) -> tuple[int, int] | None:
     counts = [parse_count(part.strip()) for part in text.split(",")[:2]]
     return None if len(counts) < 2 or None in counts else (counts[0], counts[1])
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -28,8 +28,8 @@
 STEP = "forwarding"
 # Attempts of one request, including those that an endpoint refused without running the request.
 MAX_ATTEMPTS = 6
-# Share of the caller's idle timeout after which an attempt is abandoned, even if the endpoint still
-# sends data to other requests.
+# Share of the caller's idle timeout after which an attempt without an event is abandoned, even if
+# the endpoint still sends data to other requests.
 IDLE_TIMEOUT_SHARE = 0.9
 # Events of a stream between two updates of the estimated decode speed.
 RECORD_INTERVAL_EVENTS = 8
@@ -57,9 +57,10 @@
     headers: tuple[tuple[str, str], ...]
     load: tuple[int, int] | None
 
-    def read(self, timeout_s: float) -> bytes:
+    def read(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
         """Return the next bytes, empty at the end of the body.
 
+        :param may_leave: as for ``Upstream.open``.
         :raises AttemptError: if the connection broke or the timeout passed.
         """
 
@@ -82,15 +83,15 @@
         time_left_s: float,
         timeout_s: float,
         last_event: int | None,
-        stop_if_silent: bool,
+        may_leave: Callable[[], bool],
     ) -> UpstreamAnswer:
         """Send the request and read the head of the answer.
 
         :param time_left_s: deadline that is sent to the endpoint, in seconds from now.
         :param timeout_s: timeout for the head.
         :param last_event: number of the last event that the caller received, None for none.
-        :param stop_if_silent: whether to stop before the timeout if the endpoint sends nothing to
-            any request.
+        :param may_leave: called while the endpoint sends nothing to any request; returns whether to
+            stop before the timeout.
         :raises AttemptError: if no answer to this attempt was received.
         """
 
@@ -188,6 +189,13 @@
             return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
         return decisions[0]
 
+    def can_move(self, job: "_Job") -> bool:
+        """Return whether a request could be sent to another endpoint at once."""
+        now = time.monotonic()
+        return self._scheduler.ask(
+            lambda scheduler: scheduler.can_move(job.request, job.tried_endpoints, now)
+        )
+
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
 
@@ -246,6 +254,8 @@
             "ran": job.ran.value,
             "waited_s": round(job.waited_s, 3),
             "total_s": round(now - request.arrived, 3),
+            "limit_s": round(request.deadline - request.arrived, 3),
+            "route_limit_s": request.route.timeout_s,
             "configuration": request.configuration,
         }
         if job.first_received_at is not None:
@@ -402,28 +412,39 @@
             self.event_order.resume()
         last_event = self.event_order.last if self._is_resume or self.event_order.last else None
         self._forwarder.watch_caller(self)
-        timeout, stop_if_silent = self._header_timeout(time_left), self._may_run_again()
         self._answer = self._upstream.open(
-            assignment, time_left, timeout, last_event, stop_if_silent
+            assignment,
+            time_left,
+            self._silence_timeout(time_left),
+            last_event,
+            self._can_move,
         )
         return self._answer
 
-    def _header_timeout(self, time_left: float) -> float:
+    def _read(self, answer: UpstreamAnswer) -> bytes:
+        time_left = max(MIN_ATTEMPT_TIME_S, self.request.deadline - time.monotonic())
+        return answer.read(self._silence_timeout(time_left), self._can_move)
+
+    def _silence_timeout(self, time_left: float) -> float:
+        """Return the longest wait in seconds for the next bytes of an endpoint."""
         route = self.request.route
-        if not self._may_run_again():
+        if not self._may_leave_silent():
             return time_left
         if route.is_stream:
             return min(time_left, IDLE_TIMEOUT_SHARE * caller_idle_timeout(route))
         return max(MIN_ATTEMPT_TIME_S, time_left * ATTEMPT_TIME_SHARE)
 
-    def _read_timeout(self) -> float:
-        route = self.request.route
-        time_left = max(MIN_ATTEMPT_TIME_S, self.request.deadline - time.monotonic())
-        if not self._may_run_again():
-            return time_left
-        if self.first_received_at is None:
-            return self._header_timeout(time_left)
-        return min(time_left, IDLE_TIMEOUT_SHARE * caller_idle_timeout(route))
+    def _may_leave_silent(self) -> bool:
+        """Whether a silent endpoint may be given up for another one.
+
+        Not once the caller has received events: if no other endpoint takes the stream, its
+        connection could only be closed, and the silent endpoint may go on.
+        """
+        return self.first_received_at is None and self._may_run_again()
+
+    def _can_move(self) -> bool:
+        """Whether a silent endpoint should be given up, because another one is free."""
+        return self._may_leave_silent() and self._forwarder.can_move(self)
 
     def _may_run_again(self) -> bool:
         return (
@@ -432,7 +453,7 @@
 
     def _read_complete_answer(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
         parts, size = [], 0
-        while part := answer.read(self._read_timeout()):
+        while part := self._read(answer):
             parts.append(part)
             size += len(part)
             if size > MAX_ANSWER_BYTES:
@@ -485,7 +506,7 @@
         try:
             if not _is_event_stream(answer):
                 raise EventError("the answer is not a stream of events")
-            while data := answer.read(self._read_timeout()):
+            while data := self._read(answer):
                 chunk, events, error = self._accept(splitter.feed(data))
                 if events and self.first_received_at is None:
                     self.first_received_at = time.monotonic()
