Take the copies of weights of a new engine's entry at once

A new record, or one of a new term, did not take those of the entry that it was made from, so they were missing until a report listed them.

test_copies_of_weights_in_an_entry_count_from_the_start failed before: "AssertionError: False is not true".

--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -199,7 +199,9 @@
 
     def _make_record(self, view: EndpointView) -> EngineRecord:
         late_loads = self._late_loads_by_id.setdefault(view.endpoint, [])
-        return EngineRecord(view, late_loads=late_loads)
+        return EngineRecord(
+            view, in_memory=view.in_memory, on_disk=view.on_disk, late_loads=late_loads
+        )
 
     def set_demand(self, demand: dict[tuple[str, str], Demand], now: float) -> None:
         """Replace the aggregated demand of all hosts."""
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -602,6 +602,17 @@
         provisioner.set_endpoints([attrs.evolve(entry, on_disk=frozenset(["m5"]))], simulation.now)
         self.assertTrue(record.has_local_weights("m5"))
 
+    def test_copies_of_weights_in_an_entry_count_from_the_start(self) -> None:
+        """Guards against slow loads on an engine whose copies only its entry has listed so far."""
+        simulation = self.make_simulation()
+        provisioner, view = simulation.provisioner, simulation.engines["e0"].view
+        provisioner.set_endpoints([attrs.evolve(view, on_disk=frozenset(["m5"]))], simulation.now)
+        provisioner.begin_term(2, {}, simulation.now)
+        state = attrs.evolve(simulation.engines["e0"].state(), on_disk=frozenset())
+        provisioner.record_report("e0", state, simulation.now)
+        [record] = provisioner.known_engines()
+        self.assertTrue(record.has_local_weights("m5"))
+
     def test_load_sent_before_a_restart_finds_room_after_it(self) -> None:
         """Guards against a late load that a restarted engine takes for one of its present orders.
 
