--- a/catkinhook/platform/storeclient.py
+++ b/catkinhook/platform/storeclient.py
@@ -178,8 +178,11 @@
     def _find_row(self, body: dict) -> VersionedRow:
         rows = body.get("rows")
         for row in rows if isinstance(rows, list) else ():
-            if _find_key(row) == self._row_id["key"] and _is_version(row.get("ver")):
-                return VersionedRow(row["ver"], _decode_value(row))
+            if _find_key(row) == self._row_id["key"]:
+                version = row.get("ver")
+                # Version 0 stands for a row that doesn't exist.
+                if _is_version(version) and version > 0:
+                    return VersionedRow(version, _decode_value(row))
         return VersionedRow(0, b"")
 
 
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -57,6 +57,7 @@
         if row is not None:
             self.assertIs(type(row.version), int)
             self.assertTrue(0 <= row.version <= MAX_I64)
+            self.assertTrue(row.version > 0 or not row.value)
         written = results[3].ok()
         if written is not None:
             self.assertIs(type(written), int)
