Forecast the end of a late load in a finite time

Callers of a model whose load took longer than expected were refused on all hosts, with a Retry-After of 10 s, although the model was about to be ready. The forecast and the count of long loads now use the same assumption about an unknown end as the choice of engines does.

--- a/catkinhook/control/enginepool.py
+++ b/catkinhook/control/enginepool.py
@@ -94,7 +94,7 @@
             ]
         return self._load_candidates
 
-    def busy_seconds(self, engine: EngineRecord, longest_s: float) -> float:
+    def busy_seconds(self, engine: EngineRecord, longest_s: float = float("inf")) -> float:
         """Return the seconds until an engine completes its order, capped at ``longest_s``."""
         if engine.open_order is None:
             return 0.0
@@ -120,7 +120,7 @@
 
     def _remaining_long_load_s(self, engine: EngineRecord) -> float | None:
         if engine.open_order is not None and engine.open_order.order.is_load:
-            remaining_s = engine.open_order.done_at - self.now
+            remaining_s = self.busy_seconds(engine)
             return remaining_s if remaining_s > LONG_LOAD_S else None
         is_load = (
             engine.in_flight_order is not None
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -693,7 +693,7 @@
         """Return the model that an engine loads now or next, and the expected end of the load."""
         order, in_flight_order = engine.open_order, engine.in_flight_order
         if order is not None and order.order.is_load:
-            return order.order.model, order.done_at
+            return order.order.model, pool.now + pool.busy_seconds(engine)
         is_load = (
             in_flight_order is not None and in_flight_order.is_load and not in_flight_order.adapter
         )
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -501,6 +501,19 @@
                 engine.load_s = None
                 simulation.run(4.0, {"m4": WAITING_DEMAND})
 
+    def test_late_load_has_a_finite_forecast(self) -> None:
+        """Guards against refusing all requests for a model whose load takes longer."""
+        simulation = self.make_simulation()
+        engine = simulation.engines["e0"]
+        engine.load_s = 5.0
+        demand = {"m5": WAITING_DEMAND}
+        simulation.run(0.4, demand)
+        for _ in range(90):
+            simulation.run(0.05, demand)
+            if "m5" not in engine.models:
+                waits = simulation.provisioner.expected_waits(simulation.now)
+                self.assertLess(waits.get(("llm", "m5"), 0.0), 5.0)
+
     def test_adapter_that_is_still_being_loaded_is_counted(self) -> None:
         """Guards against an adapter too many on an engine to which one is still in transit."""
         for adapter_load_s in [0.1 * number for number in range(1, 40)]:
