Wait for the lease that an unusable row may hide

Engines could get orders of two holders at the same time: a row of another writer in place of the lease, or a removed row, counted as a free lease at once, while the holder whose row it replaced ordered on until its next renewal.

Such a row is now replaced when a lease that it may hide has expired. The store's version of a row is an upper bound of its fencing token, since each acquisition is a transaction, so a higher token isn't believed and the next one starts above the version.

--- a/catkinhook/control/orderlease.py
+++ b/catkinhook/control/orderlease.py
@@ -16,9 +16,6 @@
 # Time after the expiry for which other hosts still don't acquire the lease.
 ACQUIRE_MARGIN_S = 0.3
 MAX_ROW_BYTES = 4096
-# Holders count on from the fencing token in the row, and send it in i64 fields. There is room for
-# more holders than a deployment can have.
-MAX_FENCE = 2**63 - 2**32
 # Highest rate in the row that is believed; sums of rates must remain finite.
 MAX_RATE = 1e6
 # Time after a failed renewal for which the holder attributes the expiry of its lease to a store
@@ -61,8 +58,12 @@
     return json.dumps(attrs.asdict(record)).encode()
 
 
-def decode_lease(value: bytes) -> LeaseRecord | None:
-    """Decode the bytes of a row; None when they are not a lease record."""
+def decode_lease(value: bytes, version: int) -> LeaseRecord | None:
+    """Decode the bytes of a row; None when they are not a lease record.
+
+    :param version: version of the row. The store increments it with each transaction, so a fencing
+        token, which is incremented by some of them, is never higher.
+    """
     if not value or len(value) > MAX_ROW_BYTES:
         return None
     try:
@@ -74,7 +75,7 @@
     is_valid = (
         all(isinstance(text, str) and is_encodable(text) for text in texts)
         and type(record.fence) is int
-        and 0 <= record.fence <= MAX_FENCE
+        and 0 <= record.fence <= version
         and isinstance(record.released, bool)
         and isinstance(record.rates, dict)
     )
@@ -179,7 +180,9 @@
         """
         if rates is None:
             rates = self.record.rates if self.record else {}
-        fence = self.fence if is_renewal else self._highest_fence + 1
+        # The last fencing token is unknown if the row is unusable, but it is not above the version.
+        floor = self.version if self.record is None else 0
+        fence = self.fence if is_renewal else max(self._highest_fence, floor) + 1
         return LeaseRecord(
             node=self._node,
             address=self._address,
@@ -215,9 +218,19 @@
     def _is_free(self, now: float) -> bool:
         if self._changed_at is None:
             return False
-        if self.record is None or self.record.released:
+        if self.record is None:
+            is_first = not self.version and not self._highest_fence
+            return is_first or self._has_expired(now)
+        if self.record.released:
             return True
         if self.record.node == self._node and not self.is_own(self.record):
             # The row was written by an earlier process of this host, which has ended.
             return True
+        return self._has_expired(now)
+
+    def _has_expired(self, now: float) -> bool:
+        """Whether the lease of a holder that has not written the row since has expired.
+
+        A row that was replaced or removed by another writer may hide such a holder.
+        """
         return now - self._changed_at >= self._lease_s + ACQUIRE_MARGIN_S
--- a/catkinhook/control/orderleasemanager.py
+++ b/catkinhook/control/orderleasemanager.py
@@ -151,14 +151,14 @@
         if read.is_err():
             return False
         row = read.unwrap()
-        decoded = decode_lease(row.value)
+        decoded = decode_lease(row.value, row.version)
         with self._lock:
             previous = self._lease.record
             is_invalid = decoded is None and row.version not in (0, self._lease.version)
             self._lease.observe(row.version, decoded, now)
             record = self._lease.record
         if is_invalid:
-            # Another writer's row counts as a free lease, and the next acquisition replaces it.
+            # Another writer's row. It is replaced once a lease that it may hide has expired.
             self._log.record("lease", outcome="unusable", version=row.version)
         if record != previous:
             node = record.node if record else ""
