Leave a silent engine only with a place at another one in hand

Callers got 502 for requests that left a silent engine which answered later: all requests that waited on the engine were told of the same free place, one of them got it, and the others could not return.

The scheduler now assigns the place when it is asked, against the retry budget, and the request is given up only with that assignment. It is given back if the caller has left or no attempt may follow.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -189,11 +189,11 @@
             return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
         return decisions[0]
 
-    def can_move(self, job: "_Job") -> bool:
-        """Return whether a request could be sent to another endpoint at once."""
+    def try_move(self, job: "_Job") -> Assignment | None:
+        """Assign a request to another endpoint if it can start there at once."""
         now = time.monotonic()
         return self._scheduler.ask(
-            lambda scheduler: scheduler.can_move(job.request, job.tried_endpoints, now)
+            lambda scheduler: scheduler.try_move(job.request, job.tried_endpoints, now)
         )
 
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
@@ -318,6 +318,7 @@
         self.first_received_at: float | None = None
         self.event_order = EventOrderChecker(last_event or 0)
         self._is_resume = last_event is not None
+        self._next_assignment: Assignment | None = None
         self._answer: UpstreamAnswer | None = None
         self._is_disconnected = False
         self.on_disconnect: Callable[[], None] | None = None
@@ -341,6 +342,9 @@
             self._forwarder.record_end(self, "caller left", 499)
             raise
         finally:
+            if self._next_assignment is not None:
+                # The caller left, or no time remained for another attempt.
+                self._forwarder.finish(self._next_assignment, Outcome.CANCELLED)
             if self._answer is None:
                 self._forwarder.unwatch_caller(self)
         if isinstance(result, Refusal):
@@ -366,7 +370,9 @@
 
     def _wait_for_assignment(self, failed: AttemptError | None) -> Assignment | Refusal:
         started = time.monotonic()
-        decision = self._forwarder.wait_for_assignment(self)
+        decision, self._next_assignment = self._next_assignment, None
+        if decision is None:
+            decision = self._forwarder.wait_for_assignment(self)
         self.waited_s += time.monotonic() - started
         if self._is_disconnected:
             if isinstance(decision, Assignment):
@@ -417,13 +423,13 @@
             time_left,
             self._silence_timeout(time_left),
             last_event,
-            self._can_move,
+            self._try_move,
         )
         return self._answer
 
     def _read(self, answer: UpstreamAnswer) -> bytes:
         time_left = max(MIN_ATTEMPT_TIME_S, self.request.deadline - time.monotonic())
-        return answer.read(self._silence_timeout(time_left), self._can_move)
+        return answer.read(self._silence_timeout(time_left), self._try_move)
 
     def _silence_timeout(self, time_left: float) -> float:
         """Return the longest wait in seconds for the next bytes of an endpoint."""
@@ -440,11 +446,19 @@
         Not once the caller has received events: if no other endpoint takes the stream, its
         connection could only be closed, and the silent endpoint may go on.
         """
-        return self.first_received_at is None and self._may_run_again()
+        is_last_attempt = self.attempts_sent >= MAX_ATTEMPTS
+        return self.first_received_at is None and not is_last_attempt and self._may_run_again()
+
+    def _try_move(self) -> bool:
+        """Reserve a place at another endpoint, and return whether there is one.
 
-    def _can_move(self) -> bool:
-        """Whether a silent endpoint should be given up, because another one is free."""
-        return self._may_leave_silent() and self._forwarder.can_move(self)
+        With the place in hand, a silent endpoint is given up. Without it, requests that leave an
+        endpoint together would compete for one place, and the others would be refused.
+        """
+        if not self._may_leave_silent():
+            return False
+        self._next_assignment = self._forwarder.try_move(self)
+        return self._next_assignment is not None
 
     def _may_run_again(self) -> bool:
         return (
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -238,16 +238,24 @@
             return None
         return self._enqueue(PendingRequest(request, exclude, on_decision, now, ran), now)
 
-    def can_move(self, request: RoutedRequest, exclude: frozenset[str], now: float) -> bool:
-        """Return whether a request that may have run could start at once at another endpoint.
+    def try_move(
+        self, request: RoutedRequest, exclude: frozenset[str], now: float
+    ) -> Assignment | None:
+        """Assign a request that may have run to another endpoint if it can start there at once.
+
+        The assignment counts against the retry budget and has to be finished, as others do.
 
         :param exclude: endpoints that earlier attempts used.
         """
-        moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN)
         budget = self._retry_budget(request.service)
-        return budget.may_withdraw(self.host_count, now) and bool(
-            self._usable_endpoints(moved, now)
-        )
+        if not request.is_repeatable or not budget.may_withdraw(self.host_count, now):
+            return None
+        moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN)
+        decision = self._try_assign(moved, now)
+        if not isinstance(decision, Assignment):
+            return None
+        budget.try_withdraw(self.host_count, now)
+        return decision
 
     def cancel(self, pending: PendingRequest) -> None:
         """Remove a queued request, for example because its caller disconnected."""
--- a/tests/test_hostscheduler.py
+++ b/tests/test_hostscheduler.py
@@ -295,10 +295,25 @@
         """A request must not be given up at one engine before another one can take it."""
         request = self.make_request("r1")
         tried = frozenset({"e1"})
-        self.assertTrue(self.scheduler.can_move(request, tried, self.now))
-        self.assertFalse(self.scheduler.can_move(request, tried | {"e2"}, self.now))
+        moved = self.scheduler.try_move(request, tried, self.now)
+        self.assertEqual(moved.endpoint.endpoint, "e2")
+        self.scheduler.finish(moved.attempt, Outcome.CANCELLED, self.now)
+        self.assertIsNone(self.scheduler.try_move(request, tried | {"e2"}, self.now))
         self.fill_slots()
-        self.assertFalse(self.scheduler.can_move(request, tried, self.now))
+        self.assertIsNone(self.scheduler.try_move(request, tried, self.now))
+
+    def test_only_one_request_leaves_a_silent_engine_for_one_place(self) -> None:
+        """Guards against requests that leave an engine together and find one place between them."""
+        self.now += 60.0
+        self.scheduler.set_endpoints(self.views, self.now)
+        assignments = self.fill_slots()
+        other = next(a for a in assignments if a.endpoint.endpoint == "e2")
+        self.scheduler.finish(other.attempt, Outcome.COMPLETED, self.now)
+        requests = [self.make_request(f"f{number}") for number in range(4)]
+        moves = [
+            self.scheduler.try_move(request, frozenset({"e1"}), self.now) for request in requests
+        ]
+        self.assertEqual(sum(move is not None for move in moves), 1)
 
     def test_stopping_host_refuses_queued_requests(self) -> None:
         """Guards against requests that stay queued until the process exits."""
