End the wait for an answer's head at one timeout

A caller waited for up to twice the time left for an endpoint that stopped within the head of its answer: the rest of the head got the whole timeout again.

Found by the review. test_head_that_stops_midway_ends_at_the_timeout failed before: 'AssertionError: 1.804 not less than 1.5' for a timeout of 1 s.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -24,6 +24,8 @@
 
 STEP = "upstream"
 CONNECT_TIMEOUT_S = 0.5
+# Time for the rest of a head of which the first bytes have arrived.
+MIN_HEAD_TIME_S = 0.1
 READ_BYTES = 64 << 10
 # Refusals have bodies of a few hundred bytes. A connection is not reused after a refusal with a
 # larger body than this.
@@ -190,8 +192,10 @@
             if self.probes_peer:
                 connection.probe_peer()
             connection.send_raw(method, target, headers, body)
+            head_ends_at = time.monotonic() + timeout_s
             self._wait_for_head(timeout_s, may_leave)
-            self._response = connection.read_head(timeout_s)
+            time_left_s = max(MIN_HEAD_TIME_S, head_ends_at - time.monotonic())
+            self._response = connection.read_head(time_left_s)
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
             outcome = Outcome.BROKEN if ran is Ran.NO else _find_outcome(error)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,8 @@
 
 import json
 import re
+import socket
+import threading
 import time
 import unittest
 from http.server import BaseHTTPRequestHandler
@@ -17,7 +19,13 @@
 from catkinhook.platform.records import decode_configuration, decode_endpoint, decode_report
 from catkinhook.platform.settingsfile import parse_settings_text
 from catkinhook.platform.storeclient import CALL_TIMEOUT_S, StoreClient, TableFeed, TableRow
+from catkinhook.platform.upstream import READ_BYTES, EndpointAnswer
+from catkinhook.requests.attempts import AttemptError, ConnectionPool
+from catkinhook.requests.endpointactivity import EndpointActivity
+from catkinhook.requests.routedrequest import Assignment
 from catkinhook.requests.routetable import RetryMode
+from catkinhook.state.views import EndpointView
+from tests.hostcase import WAIT_S
 from tests.platform_fakes import FakeEndpoint, FakeStore, make_configuration
 
 PACKAGE = Path(__file__).resolve().parent.parent / "catkinhook"
@@ -42,6 +50,36 @@
 )
 
 
+class HeadTimeoutTest(unittest.TestCase):
+    """Timeout of the head of an endpoint's answer."""
+
+    def serve(self, listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(READ_BYTES)
+            time.sleep(0.8)
+            connection.sendall(b"HTTP/1.1 200 OK\r\n")
+            self.is_done.wait(WAIT_S)
+
+    def test_head_that_stops_midway_ends_at_the_timeout(self) -> None:
+        """Guards against a second timeout for the rest of a head, beyond the request's deadline."""
+        self.is_done = threading.Event()
+        self.addCleanup(self.is_done.set)
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        threading.Thread(target=self.serve, args=(listener,), daemon=True).start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        view = EndpointView(endpoint="i", address=address, service="s", zone="z", slots=1)
+        assignment = Assignment(endpoint=view, attempt=1, priority=0)
+        connections = ConnectionPool()
+        self.addCleanup(connections.close)
+        answer = EndpointAnswer(connections, EndpointActivity(), assignment, "r1")
+        began = time.monotonic()
+        with self.assertRaises(AttemptError):
+            answer.send("GET", "/", [], b"", 1.0, True, lambda: False)
+        self.assertLess(time.monotonic() - began, 1.5)
+
+
 class BoundaryTest(unittest.TestCase):
     """Modules that may contain the platform's names."""
 
