Bound the lists in log lines

A line on an order or a corrected record could list thousands of models and adapters: 835,667 bytes for what an odd report may hold, with up to 40 such lines a second. Lists are cut at 32 items and a count.

--- a/catkinhook/operations/decisionlog.py
+++ b/catkinhook/operations/decisionlog.py
@@ -22,6 +22,8 @@
 CLOSE_TIMEOUT_S = 0.5
 # Longest text of a line; texts of other processes and of exceptions may be of any length.
 MAX_TEXT_CHARS = 1000
+# Most items of a list in a line; an engine may report thousands of models and adapters.
+MAX_LISTED_ITEMS = 32
 
 _LOGGER = "catkinhook.decisions"
 
@@ -90,7 +92,7 @@
                 return
             bucket.tokens -= 1.0
         line = {"at": round(now, 3), "kind": kind, "outcome": outcome, **inputs}
-        line = {n: v[:MAX_TEXT_CHARS] if isinstance(v, str) else v for n, v in line.items()}
+        line = {name: _shorten(value) for name, value in line.items()}
         try:
             self._queue.put_nowait(line)
         except queue.Full:
@@ -128,3 +130,14 @@
         # A closed standard output must not end the process.
         with contextlib.suppress(OSError, ValueError):
             self._logger.info(line)
+
+
+def _shorten(value: Any) -> Any:
+    """Return a value of a line with bounded texts and lists."""
+    if isinstance(value, str):
+        return value[:MAX_TEXT_CHARS]
+    if not isinstance(value, (list, tuple)):
+        return value
+    items = [_shorten(item) for item in value[:MAX_LISTED_ITEMS]]
+    left_out = len(value) - len(items)
+    return [*items, f"{left_out} more"] if left_out else items
--- a/tests/test_decisionlog.py
+++ b/tests/test_decisionlog.py
@@ -5,7 +5,7 @@
 import json
 import unittest
 
-from catkinhook.operations.decisionlog import MAX_TEXT_CHARS, DecisionLog
+from catkinhook.operations.decisionlog import MAX_LISTED_ITEMS, MAX_TEXT_CHARS, DecisionLog
 
 
 class DecisionLogTest(unittest.TestCase):
@@ -26,6 +26,18 @@
             self.assertLess(len(line), 3 * MAX_TEXT_CHARS)
             self.assertEqual(json.loads(line)["kind"], "endpoint")
 
+    def test_long_list_gives_a_short_line(self) -> None:
+        """Guards against a line with all names of an engine that reports thousands of them."""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            log = DecisionLog("h")
+        log.start()
+        log.record("order", outcome="accepted", counted=tuple(f"{n:0200d}" for n in range(4096)))
+        log.close()
+        line = json.loads(output.getvalue())
+        self.assertLess(len(output.getvalue()), 10 * MAX_TEXT_CHARS)
+        self.assertEqual(line["counted"][-1], f"{4096 - MAX_LISTED_ITEMS} more")
+
 
 if __name__ == "__main__":
     unittest.main()
