--- a/catkinhook/requests/eventsplitter.py
+++ b/catkinhook/requests/eventsplitter.py
@@ -4,7 +4,7 @@
 
 from catkinhook.units import KIB
 
-# An incomplete event is scanned again at each read, so the cost is quadratic in this limit.
+# An incomplete event is scanned again at each end of a line, so this limits the cost.
 MAX_EVENT_BYTES = 256 * KIB
 
 # Lines up to an empty one. The ends of lines may differ within a stream; an atomic group keeps both
@@ -35,6 +35,11 @@
         :returns: events or comments, each with the empty line that ends it.
         :raises EventError: if a block exceeds the size limit.
         """
+        if self._pending and b"\n" not in data and b"\r" not in data:
+            # No block ends here, so the pending bytes needn't be scanned again.
+            self._pending += data
+            self._check_size()
+            return []
         data = self._pending + data if self._pending else data
         blocks: list[bytes] = []
         start = 0
@@ -42,9 +47,12 @@
             blocks.append(match[0])
             start = match.end()
         self._pending = data[start:]
+        self._check_size()
+        return blocks
+
+    def _check_size(self) -> None:
         if len(self._pending) > MAX_EVENT_BYTES:
             raise EventError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
-        return blocks
 
     def finish(self) -> None:
         """Check that the stream ends after a complete block.
--- a/tests/test_fuzz_events.py
+++ b/tests/test_fuzz_events.py
@@ -2,11 +2,13 @@
 
 import re
 import unittest
+from unittest import mock
 
 import attrs
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from catkinhook.requests import eventsplitter
 from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
 from tests.test_fuzz_relay import CUTS, split
 
@@ -137,6 +139,17 @@
         self.assertEqual(complete, wire[:-missing].endswith(b"\n\n") or missing >= len(wire))
         self.assertTrue(wire.startswith(received))
 
+    def test_long_event_in_small_pieces_is_scanned_once(self) -> None:
+        """Guards against processor time that grows with the square of an event's length."""
+        event = b"id: 1\ndata: " + b"x" * 10_000 + b"\n\n"
+        pattern = mock.Mock(wraps=eventsplitter._BLOCK)
+        with mock.patch.object(eventsplitter, "_BLOCK", pattern):
+            splitter = EventSplitter()
+            blocks = [b for at in range(len(event)) for b in splitter.feed(event[at : at + 1])]
+        self.assertEqual(blocks, [event])
+        # One scan for each end of a line, one for the first byte and one after the event.
+        self.assertLessEqual(pattern.match.call_count, 5)
+
 
 if __name__ == "__main__":
     unittest.main()
