Leave out odd rows of the host list

An operator's controllers followed no later change of the endpoint hosts while one odd row stood in the platform's list, and a deeply nested answer raised RecursionError in the thread that follows it. It is the cause of the odd entries in the product's own interface. A row with a missing or invalid field now names no endpoint, a change of their number is logged, and a nested answer is an error like other undecodable ones.

--- a/catkinhook/state/hostlist.py
+++ b/catkinhook/state/hostlist.py
@@ -1,13 +1,18 @@
 """Client of the platform's list of live and leaving hosts, which is updated with a delay."""
 
 import json
-from typing import Protocol
+import logging
+from typing import Any, Protocol
 
 import attrs
 import urllib3
 from result import Err, Ok, Result
 
+from catkinhook.addresses import split_address
 from catkinhook.errors import StoreError
+from catkinhook.texts import is_encodable
+
+_log = logging.getLogger(__name__)
 
 
 @attrs.frozen
@@ -48,6 +53,7 @@
     def __init__(self, url: str, timeout: float) -> None:
         self._url = url.rstrip("/")
         self._pool = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(total=timeout))
+        self._invalid_rows = 0
 
     def start(self) -> None:
         """Do nothing; connections are opened on first use."""
@@ -63,13 +69,31 @@
             if response.status != 200:
                 return Err(StoreError("hosts", self._url, f"answered {response.status}"))
             rows = json.loads(response.data)["hosts"]
-            return Ok([_decode_host(row) for row in rows])
+            return Ok(self._decode_hosts(rows))
         except urllib3.exceptions.HTTPError as error:
             return Err(StoreError("hosts", self._url, f"no answer: {error}"))
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             return Err(StoreError("hosts", self._url, f"answer can't be decoded: {error!r}"))
 
-
-def _decode_host(row: dict) -> Host:
-    leaving = row["state"] == "leaving"
-    return Host(row["host"], row["address"], row["service"], row["zone"], leaving)
+    def _decode_hosts(self, rows: list) -> list[Host]:
+        """Return the valid hosts; an invalid row names no endpoint to use."""
+        hosts = [host for row in rows if (host := _decode_host(row)) is not None]
+        invalid_rows = len(rows) - len(hosts)
+        if invalid_rows != self._invalid_rows:
+            self._invalid_rows = invalid_rows
+            _log.warning("%d rows of the host list are invalid", invalid_rows)
+        return hosts
+
+
+def _decode_host(row: Any) -> Host | None:
+    """Return a host, None if a field of its row is missing or invalid."""
+    if not isinstance(row, dict):
+        return None
+    texts = [row.get(field) for field in ("host", "address", "service", "zone")]
+    if not all(isinstance(text, str) and is_encodable(text) for text in texts):
+        return None
+    try:
+        split_address(texts[1])
+    except ValueError:
+        return None
+    return Host(*texts, leaving=row.get("state") == "leaving")
