Plan no model on an engine that unloads an adapter

Such an engine is now no candidate for a load.

test_no_model_is_planned_on_an_engine_that_unloads_an_adapter failed before: both engines were candidates.

--- a/catkinhook/control/enginepool.py
+++ b/catkinhook/control/enginepool.py
@@ -91,6 +91,7 @@
                 and engine.sequence >= 0
                 and engine.resync_at is None
                 and not engine.planned_model
+                and not engine.is_unloading_adapter
             ]
         return self._load_candidates
 
--- a/catkinhook/control/enginerecords.py
+++ b/catkinhook/control/enginerecords.py
@@ -132,6 +132,11 @@
             and self.is_usable
         )
 
+    @property
+    def is_unloading_adapter(self) -> bool:
+        """Whether an unload waits for an adapter's requests, which may take several seconds."""
+        return self.open_order is not None and bool(self.open_order.order.adapter)
+
     def resident_adapters(self) -> set[str]:
         """Return the resident adapters as ``model/adapter``."""
         return {f"{model}/{name}" for model, names in self.adapters.items() for name in names}
--- a/tests/test_provisioning.py
+++ b/tests/test_provisioning.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinhook.control.enginerecords import Demand
+from catkinhook.control.enginepool import EnginePool
+from catkinhook.control.enginerecords import Demand, OpenOrder
 from catkinhook.control.provisioning import OutgoingOrder, Provisioner
 from catkinhook.control.sequencedorders import EngineState, OrderReply, SequencedOrder
 from catkinhook.hostsettings import Bounds
@@ -540,6 +541,19 @@
         simulation.run(2.0, {"m1/a0": WAITING_DEMAND})
         self.assertTrue(simulation.engines_with("m1/a0"))
 
+    def test_no_model_is_planned_on_an_engine_that_unloads_an_adapter(self) -> None:
+        """Guards against a busy model that waits for one engine's unload while others are free."""
+        simulation = Simulation(2, random.Random(1), 0.0, tuple(MODELS))
+        simulation.run(3.0, {})
+        engines = simulation.provisioner.known_engines()
+        spec = make_table().service_by_name["llm"].engine
+        order = SequencedOrder(
+            is_load=False, model="m0", adapter="a0", expected=1, holder="host", fence=1
+        )
+        engines[0].open_order = OpenOrder(order, simulation.now, float("inf"))
+        pool = EnginePool(spec, engines, {}, {}, simulation.now)
+        self.assertEqual(pool.load_candidates(), engines[1:])
+
     def test_load_that_already_holds_is_counted(self) -> None:
         """Guards against a model too many after an order for a model that was already there."""
         simulation = self.make_simulation()
