Give back a reserved place also while a stream is relayed

A stream of which the caller has comments but no event may still leave a silent engine. If no attempt could follow, such as at its deadline, the reserved place at the other engine stayed taken on this host. Found by reading; no test brings it about. test_request_lost and test_stream_answers pass.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -91,7 +91,8 @@
         :param timeout_s: timeout for the head.
         :param last_event: number of the last event that the caller received, None for none.
         :param may_leave: called while the endpoint sends nothing to any request; returns whether to
-            stop before the timeout.
+            stop before the timeout. It then has reserved a place elsewhere, so the call must end
+            with an ``AttemptError``.
         :raises AttemptError: if no answer to this attempt was received.
         """
 
@@ -342,9 +343,7 @@
             self._forwarder.record_end(self, "caller left", 499)
             raise
         finally:
-            if self._next_assignment is not None:
-                # The caller left, or no time remained for another attempt.
-                self._forwarder.finish(self._next_assignment, Outcome.CANCELLED)
+            self._give_back_place()
             if self._answer is None:
                 self._forwarder.unwatch_caller(self)
         if isinstance(result, Refusal):
@@ -460,6 +459,12 @@
         self._next_assignment = self._forwarder.try_move(self)
         return self._next_assignment is not None
 
+    def _give_back_place(self) -> None:
+        """Give back a reserved place that no attempt used, such as after the caller has left."""
+        assignment, self._next_assignment = self._next_assignment, None
+        if assignment is not None:
+            self._forwarder.finish(assignment, Outcome.CANCELLED)
+
     def _may_run_again(self) -> bool:
         return (
             self.request.is_repeatable and self.attempts_run + 1 < self.request.route.max_attempts
@@ -585,6 +590,7 @@
             self._forwarder.finish(assignment, Outcome.COMPLETED)
             assignment = None
         finally:
+            self._give_back_place()
             self._forwarder.unwatch_caller(self)
             if assignment is not None and outcome != "broken off":
                 answer.close()
