Return no port of tests twice in one process

A set-up draws three ports at random, of 17,000, before the host binds the first, so that one could be drawn twice: with some 150 set-ups, in about 3 of 100 runs of the suite. Ports that the process has used are no longer drawn. That this was the cause of both failures is not shown.

--- a/tests/hostcase.py
+++ b/tests/hostcase.py
@@ -27,15 +27,22 @@
         time.sleep(0.01)
 
 
+_found_ports: set[int] = set()
+
+
 def find_port() -> int:
-    """Return a free port below the range of ephemeral ports.
+    """Return a free port that this process has not used yet, below the range of ephemeral ports.
 
     The kernel assigns ports from 32768 on to outgoing connections, such as those of tests that run
     in parallel.
     """
     while True:
         port = random.randrange(*HOST_PORTS)
+        if port in _found_ports:
+            # The host may not have bound it yet.
+            continue
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            _found_ports.add(port)
             return port
 
 
