Log the parts of a prompt and the progress of the answer with failed attempts

When an engine crashes it cuts up to 60 requests of all hosts within 2 ms. The line of a cut attempt told neither the shared parts of the prompt nor whether the head or an event of the answer had arrived, so the request that began to write its answer could not be told from those that waited or wrote before.

Attempt lines now have model, parts and progress (none, head, events).

--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -132,6 +132,7 @@
         prompt_tokens, output_tokens = _parse_token_counts(get(protocolnames.TOKENS.lower(), ""))
         deadline = _parse_deadline_s(get(protocolnames.DEADLINE_MS.lower(), ""))
         service = route.choose_service(self._rng)
+        parts = _parse_part_ids(get(protocolnames.PROMPT_PARTS.lower(), ""))
         identity = "\n".join((inbound.method, inbound.target, item))
         hashed = identity.encode("latin-1", "replace") + b"\n" + inbound.body
         return RoutedRequest(
@@ -144,7 +145,8 @@
             item=item,
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens if item else 0,
-            prefixes=_hash_prefixes(item, get(protocolnames.PROMPT_PARTS.lower(), "")),
+            prefixes=_hash_prefixes(item, parts),
+            shared_parts=parts[:-1],
             fingerprint=xxhash.xxh64_hexdigest(hashed),
         )
 
@@ -258,9 +260,13 @@
     return min(MAX_DEADLINE_S, max(0.0, seconds)) if seconds == seconds else MAX_DEADLINE_S
 
 
-def _hash_prefixes(item: str, text: str) -> tuple[str, ...]:
+def _parse_part_ids(text: str) -> tuple[str, ...]:
+    """Return the ids of the prompt's parts, in their order."""
+    return tuple(part.partition(":")[0].strip() for part in text.split(",") if part.strip())
+
+
+def _hash_prefixes(item: str, parts: tuple[str, ...]) -> tuple[str, ...]:
     """Return a hash of each prefix of the prompt's parts, shortest first."""
-    parts = [part.partition(":")[0].strip() for part in text.split(",") if part.strip()]
     hashes = []
     prefix = item
     # This includes the last part, which is specific to the request or its session.
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -17,6 +17,7 @@
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import (
     Assignment,
+    AttemptProgress,
     Decision,
     RoutedRequest,
     caller_idle_timeout,
@@ -281,6 +282,9 @@
             status=error.status,
             reason=error.reason,
             number=job.attempts_sent,
+            progress=job.progress.value,
+            model=job.request.model,
+            parts=job.request.shared_parts,
         )
 
 
@@ -291,6 +295,7 @@
     :ivar endpoints: the same ids in the order of the attempts, for the log.
     :ivar has_reached_endpoint: whether an attempt reached an endpoint.
     :ivar attempts_run: number of failed attempts that may have run.
+    :ivar progress: how much of the answer to the latest attempt has arrived.
     :ivar ran: whether an endpoint ran the request.
     :ivar first_received_at: time at which the first event or the complete answer arrived.
     :ivar on_disconnect: called when the caller disconnects, None if no wait has to be ended.
@@ -314,6 +319,7 @@
         self.attempts_sent = 0
         self.has_reached_endpoint = False
         self.attempts_run = 0
+        self.progress = AttemptProgress.NONE
         self.ran = Ran.NO
         self.waited_s = 0.0
         self.first_received_at: float | None = None
@@ -407,6 +413,7 @@
     def _open(self, assignment: Assignment) -> UpstreamAnswer:
         """Send the request to an endpoint and read the head of the answer."""
         self.attempts_sent += 1
+        self.progress = AttemptProgress.NONE
         self.tried_endpoints |= {assignment.endpoint.endpoint}
         self.endpoints.append(assignment.endpoint.endpoint)
         time_left = self.request.deadline - time.monotonic() - ANSWER_MARGIN_S
@@ -424,6 +431,7 @@
             last_event,
             self._try_move,
         )
+        self.progress = AttemptProgress.HEAD
         return self._answer
 
     def _read(self, answer: UpstreamAnswer) -> bytes:
@@ -479,6 +487,7 @@
                 reason = f"endpoint sent more than {MAX_ANSWER_BYTES} bytes"
                 raise AttemptError(STEP, assignment.endpoint.endpoint, reason, Ran.UNKNOWN)
         body = b"".join(parts)
+        self.progress = AttemptProgress.EVENTS
         self.first_received_at = time.monotonic()
         is_failure = answer.status >= 500
         if (
@@ -531,6 +540,7 @@
                     self.first_received_at = time.monotonic()
                 if events and not is_started:
                     is_started = True
+                    self.progress = AttemptProgress.EVENTS
                     self._forwarder.record_first_event(assignment, answer.load)
                 unrecorded += events
                 if unrecorded >= RECORD_INTERVAL_EVENTS:
--- a/catkinhook/requests/routedrequest.py
+++ b/catkinhook/requests/routedrequest.py
@@ -1,5 +1,7 @@
 """Requests of a host whose route is known, and the scheduler's decisions on them."""
 
+import enum
+
 import attrs
 
 from catkinhook.errors import Refusal
@@ -16,6 +18,14 @@
 DEFAULT_OUTPUT_TOKENS = 200
 
 
+class AttemptProgress(enum.StrEnum):
+    """How much of an endpoint's answer to one attempt has arrived."""
+
+    NONE = "none"
+    HEAD = "head"
+    EVENTS = "events"  # at least the first event, or all of an answer that is no stream
+
+
 @attrs.frozen(kw_only=True)
 class RoutedRequest:
     """A request and its route.
@@ -28,6 +38,8 @@
     :ivar prompt_tokens: tokens of the prompt.
     :ivar output_tokens: output token limit.
     :ivar prefixes: hashes of the prompt's prefixes, shortest first.
+    :ivar shared_parts: ids of the prompt's parts that other requests may have too, which are all
+        but the last.
     :ivar fingerprint: hash that is equal for requests with the same effect on an endpoint.
     """
 
@@ -41,6 +53,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     prefixes: tuple[str, ...] = ()
+    shared_parts: tuple[str, ...] = ()
     fingerprint: str = ""
 
     @property
