Refuse a quarantined request with 502 if an attempt may have run

Callers of a request that crashed two engines got 503, which promises that the request has not run, although both engines may have run it. The refusal of quarantined requests had a fixed status, unlike that for lack of capacity. Both now take it from what is known of earlier attempts.

test_quarantined_request_that_may_have_run_is_not_refused_as_not_run failed before: 503 != 502.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -420,7 +420,9 @@
         status = self.suspects.status(request.fingerprint, now)
         if status is SuspectStatus.QUARANTINED:
             reason = "the request crashed endpoints repeatedly and is quarantined"
-            return Refusal(STEP, "", reason, "quarantined", 503, pending.ran)
+            return Refusal(
+                STEP, "", reason, "quarantined", _refusal_status(pending.ran), pending.ran
+            )
         found = self._usable_endpoints(pending, now)
         best = endpointselection.choose_best([self._predict(request, view, now) for view in found])
         if best is None:
@@ -543,7 +545,7 @@
             retry_after_s = RETRY_AFTER_MAX_S
         retry_after_s *= 1.0 + RETRY_AFTER_JITTER_RATIO * self._rng.random()
         self._demand(request).count_unmet(now)
-        status = 503 if pending.ran is Ran.NO else 502
+        status = _refusal_status(pending.ran)
         return Refusal(STEP, "", reason, "no-capacity", status, pending.ran, retry_after_s)
 
     def _predict_start(self, pending: PendingRequest, queued_ahead: int, now: float) -> float:
@@ -615,6 +617,11 @@
     return min(9, 2 * request.route.priority + (1 if is_relaxed else 0))
 
 
+def _refusal_status(ran: Ran) -> int:
+    """Return 503, which promises that the request has not run and won't, or 502."""
+    return 503 if ran is Ran.NO else 502
+
+
 def _reserved_tokens(request: RoutedRequest) -> int:
     return request.prompt_tokens + int(MEAN_OUTPUT_SHARE * request.output_tokens)
 
--- a/tests/test_hostscheduler.py
+++ b/tests/test_hostscheduler.py
@@ -289,7 +289,20 @@
         """Guards against a request that crashes one engine after another."""
         for endpoint in ("x", "y"):
             self.scheduler.suspects.record(EventKind.CRASH, "bad", "m1", self.now, endpoint, "1")
-        self.assertEqual(self.submit("bad").code, "quarantined")
+        refusal = self.submit("bad")
+        self.assertEqual((refusal.code, refusal.status, refusal.ran), ("quarantined", 503, Ran.NO))
+
+    def test_quarantined_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
+        """Guards against a 503, which promises that the request has not run, after an attempt."""
+        for endpoint in ("x", "y"):
+            self.scheduler.suspects.record(EventKind.CRASH, "bad", "m1", self.now, endpoint, "1")
+        request = self.make_request("bad")
+
+        def on_decision(decision: Decision) -> None:
+            self.decisions["bad"] = decision
+
+        self.scheduler.resubmit(request, frozenset({"e1"}), Ran.UNKNOWN, on_decision, self.now)
+        self.assertEqual(self.decisions["bad"].status, 502)
 
     def test_request_leaves_a_silent_engine_only_for_a_free_one(self) -> None:
         """A request must not be given up at one engine before another one can take it."""
