Quarantine parts of prompts that crash engines, on all hosts

Cause: the unit of blame. Hosts quarantine whole requests by a hash of method, target, item and body, so requests of which no two are alike never add up, whatever the number of crashes.

Change: blame falls on the shared parts of prompts. When an engine crashes under a request without an event of its answer, that request's parts are suspected, those of a request whose head had arrived more than those of requests that waited. An answer to any request clears its parts. A part with two crashes (four without heads) that no other part explains is quarantined, once its service has answered another request since. Crashes within 0.25 s count once, so a power loss quarantines nothing, and a crash counts only if the endpoint refuses connections, so answers that are broken off quarantine nothing. Requests with the part are refused at once with 503 and the code 'quarantined'; the reason names the part, the crashes and their age. After 60 s, doubling up to an hour, the holder of the order lease sends one such request as a probe.

Hosts push new evidence to three random hosts each, and the holder passes it on with its views, so it needs no single host and reaches one that has just started. The events travel in the list of suspect events, whose receivers leave out kinds that they don't know. Operators list and lift quarantines with 'catkinhook quarantines'; each change is a line of kind 'quarantine'.

--- a/catkinhook/cli.py
+++ b/catkinhook/cli.py
@@ -88,6 +88,32 @@
     return run(settings)
 
 
+@app.command
+def quarantines(address: str, *, lift: str = "") -> int:
+    """List the prompt parts that a host refuses because they crashed engines, or lift one.
+
+    Example: catkinhook quarantines 10.0.0.7:9100 --lift llm/5c1e07a2
+
+    :param address: IP:port of the readiness listener of any host.
+    :param lift: the parts of a quarantine as listed, which all hosts then accept again.
+    """
+    import urllib3
+
+    from catkinhook.requests.quarantinecontrol import OPERATOR_TIMEOUT_S
+
+    method, fields = ("DELETE", {"parts": lift}) if lift else ("GET", None)
+    url = f"http://{address}/quarantines"
+    try:
+        answer = urllib3.request(
+            method, url, fields=fields, timeout=OPERATOR_TIMEOUT_S, retries=False
+        )
+    except urllib3.exceptions.HTTPError as error:
+        print(f"host {address} can't be reached: {error}", file=sys.stderr)
+        return commands.ExitCode.UNREACHABLE
+    print(json.dumps(answer.json(), indent=2))
+    return EXIT_OK if answer.status == 200 else EXIT_FAILED
+
+
 @app.command
 def dev(*, port: int = 8080, admin_port: int = 7180) -> int:
     """Run a gateway, a controller and emulators in one process on loopback.
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -37,6 +37,8 @@
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.partquarantine import Quarantine
+from catkinhook.requests.quarantinecontrol import QuarantineControl
 from catkinhook.requests.routetable import RouteTable
 from catkinhook.state.storeinterfaces import ChangeFeed, ConditionalRow
 from catkinhook.state.storewatches import ConfigurationWatch, EndpointWatch
@@ -90,8 +92,8 @@
 
     :ivar configuration_key: key of the configuration's row.
     :ivar make_front_application: creates the application for callers.
-    :ivar make_readiness_application: creates the application for the readiness check and the
-        metrics.
+    :ivar make_readiness_application: creates the application for the readiness check, the metrics
+        and the operators' view of quarantines.
     """
 
     configuration_feed: ChangeFeed
@@ -102,7 +104,9 @@
     decode_configuration: Callable[[bytes], Result[RouteTable, str]]
     decode_endpoint: Callable[[str, bytes], Result[EndpointView, str]]
     make_front_application: ApplicationFactory
-    make_readiness_application: Callable[[HostState, Callable[[], bytes]], Callable]
+    make_readiness_application: Callable[
+        [HostState, Callable[[], bytes], QuarantineControl], Callable
+    ]
 
 
 def boot_clock() -> float:
@@ -166,7 +170,9 @@
         self.log = DecisionLog(settings.node, self.metrics.registry)
         self.state = HostState(MAX_REQUESTS, bounds.grace_s, self._explain_unready, self.log)
         rng = random.Random()
-        scheduler = StateActor(Scheduler(settings.zone, origin, bounds, rng, time.monotonic()))
+        scheduler = StateActor(
+            Scheduler(settings.zone, origin, bounds, rng, time.monotonic(), self._record_quarantine)
+        )
         self._scheduler = scheduler
         connections = ConnectionPool()
         disconnect_monitor = DisconnectMonitor(CALLER_CHECK_INTERVAL_S)
@@ -238,14 +244,20 @@
             lambda: self.endpoints.entries,
         )
         forwarder = Forwarder(
-            scheduler, disconnect_monitor, self.metrics, self.log, self.holder_link.request_exchange
+            scheduler,
+            disconnect_monitor,
+            self.metrics,
+            self.log,
+            self.holder_link.request_exchange,
+            self.holder_link.push_evidence,
         )
         front = platform.make_front_application(
             lambda: self.configuration.table, forwarder, connections, self.state
         )
         threads = MAX_REQUESTS + SPARE_THREADS
         self.front = WebListener(front, settings.front_address, threads, "front")
-        ready = platform.make_readiness_application(self.state, self._render_metrics)
+        control = QuarantineControl(scheduler, self.holder_link.push_evidence)
+        ready = platform.make_readiness_application(self.state, self._render_metrics, control)
         self.kernel = Kernel()
         for name, service in (
             ("log", self.log),
@@ -286,6 +298,16 @@
             return "no endpoints are known yet"
         return ""
 
+    def _record_quarantine(self, quarantine: Quarantine, change: str, now: float) -> None:
+        self.log.record(
+            "quarantine",
+            outcome=change,
+            parts=quarantine.units,
+            crashes=quarantine.describe_crashes(now),
+            strikes=quarantine.strikes,
+            hold_s=quarantine.hold_s,
+        )
+
     def _render_metrics(self) -> bytes:
         self.metrics.in_progress.set(self.state.in_progress)
         return self.metrics.render()
--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -20,6 +20,7 @@
 from catkinhook.control.orderleasemanager import LeaseManager
 from catkinhook.errors import StepError
 from catkinhook.operations.decisionlog import DecisionLog
+from catkinhook.peering.evidencepush import EvidencePush
 from catkinhook.peering.hostmessages import (
     MAX_SUSPECTS,
     HolderView,
@@ -30,9 +31,11 @@
     encode_report,
     encode_view,
 )
+from catkinhook.peering.partmessages import MAX_PART_EVENTS
 from catkinhook.peering.peers import PeerPool
 from catkinhook.peering.thriftfields import make_refused
 from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.partquarantine import PartEvent
 from catkinhook.requests.suspects import SuspectEvent
 from catkinhook.state.storewatches import EndpointEntrySet
 from catkinhook.state.views import EndpointView
@@ -56,6 +59,9 @@
 MAX_QUERIED_PEERS = 2
 # Maximum age of suspect events that are resent; after a change of holder, all are sent.
 SUSPECT_RESEND_S = 1.5
+# Maximum age of evidence about prompt parts in messages. It spans several exchanges, of which some
+# may fail.
+PART_EVENT_RESEND_S = 10.0
 # Number of hosts that is assumed until the first view is received.
 MIN_HOSTS = 1
 
@@ -160,6 +166,9 @@
         self._host_addresses: tuple[str, ...] = ()
         self._next_exchange_at = float("-inf")
         self.is_stopping = False
+        self._evidence_push = EvidencePush(
+            self._other_addresses, self._send_evidence, random.Random()
+        )
         self._thread = threading.Thread(target=self._run, name="holder-link", daemon=True)
 
     def set_dependencies(
@@ -178,11 +187,13 @@
         self._fetch_newer_configuration = fetch_newer_configuration
 
     def start(self) -> None:
-        """Start the thread."""
+        """Start the threads."""
+        self._evidence_push.start()
         self._thread.start()
 
     def close(self) -> None:
-        """Stop the thread without waiting for a call in progress."""
+        """Stop the threads without waiting for a call in progress."""
+        self._evidence_push.close()
         self._stop.set()
         self._exchange_requested.set()
 
@@ -190,6 +201,11 @@
         """Start the next exchange as soon as the minimum interval allows; a request is waiting."""
         self._exchange_requested.set()
 
+    def push_evidence(self) -> None:
+        """Send the evidence about prompt parts to other hosts; it has changed."""
+        self._evidence_push.request()
+        self._exchange_requested.set()
+
     def is_holder_reachable(self) -> bool:
         """Whether the holder answered recently."""
         interval = exchange_interval(len(self._host_addresses))
@@ -213,16 +229,18 @@
         now = time.monotonic()
         max_age = SUSPECT_RESEND_S if self._known_view[0] else float("inf")
 
-        def read_state(scheduler: Scheduler) -> tuple[dict, dict, set[str], list[SuspectEvent]]:
-            events = scheduler.suspects.events(now, MAX_SUSPECTS, max_age)
+        def read_state(
+            scheduler: Scheduler,
+        ) -> tuple[dict, dict, set[str], list[SuspectEvent], list[PartEvent]]:
             return (
                 scheduler.demand(now),
                 scheduler.count_running(),
                 scheduler.down_endpoints(now),
-                events,
+                scheduler.suspects.events(now, MAX_SUSPECTS, max_age),
+                scheduler.parts.events(now, MAX_PART_EVENTS, PART_EVENT_RESEND_S),
             )
 
-        demand, running, down, events = self._scheduler.ask(read_state)
+        demand, running, down, events, part_events = self._scheduler.ask(read_state)
         return HostReport(
             node=self._node,
             address=self._address,
@@ -235,15 +253,22 @@
             running_by_use=running,
             down=frozenset(down),
             suspects=tuple(events),
+            part_events=tuple(part_events),
             stopping=self.is_stopping,
             known_fence=self._known_view[0],
             known_revision=self._known_view[1],
         )
 
     def handle_report(self, report: HostReport) -> HolderView:
-        """Return the view for another host's report, or for this host's own."""
+        """Return the view for another host's report, or for this host's own.
+
+        A host that does not hold the lease only exchanges evidence about prompt parts.
+        """
+        self._merge_part_events(report.part_events)
         if not self._lease.is_held():
-            return HolderView(node=self._node, fence=0, holds=False)
+            return HolderView(
+                node=self._node, fence=0, holds=False, part_events=self._read_part_events()
+            )
         view = self._coordinator.handle_report(report)
         if report.configuration > self._read_configuration_version():
             # All hosts learn of new configurations from the holder. The store may be unavailable to
@@ -258,6 +283,7 @@
             view,
             configuration=self._read_configuration_version(),
             suspects=tuple(events),
+            part_events=self._read_part_events(),
             lease_version=self._lease.version(),
         )
 
@@ -285,6 +311,8 @@
         if newer_address:
             self._fetch_newer_configuration(newer_address)
         view = self._exchange_with_holder()
+        if view is not None:
+            self._merge_part_events(view.part_events)
         if view is not None and view.holds:
             with self._lock:
                 if view.fence != self._known_view[0]:
@@ -330,6 +358,38 @@
         record = self._lease.holder()
         return record.address if record is not None else ""
 
+    def _other_addresses(self) -> list[str]:
+        return [address for address in self._host_addresses if address != self._address]
+
+    def _send_evidence(self, address: str) -> None:
+        try:
+            # The peer may hold the lease, so it has to get a complete report.
+            struct = encode_report(self.make_report(), time.monotonic())
+            result = self._pool.call(address, "exchange", struct)
+            # Peers that can't be reached learn from others.
+            if result.is_ok():
+                self._merge_part_events(decode_view(result.unwrap(), time.monotonic()).part_events)
+        except Exception as error:
+            self._log.record("exchange", outcome=f"failed: {error!r}")
+
+    def _read_part_events(self) -> tuple[PartEvent, ...]:
+        now = time.monotonic()
+        return tuple(
+            self._scheduler.ask(lambda s: s.parts.events(now, MAX_PART_EVENTS, PART_EVENT_RESEND_S))
+        )
+
+    def _merge_part_events(self, events: Iterable[PartEvent]) -> None:
+        now = time.monotonic()
+        events = list(events)
+
+        def merge(scheduler: Scheduler) -> None:
+            if scheduler.parts.merge(events, now):
+                self._evidence_push.request()
+            scheduler.dispatch_waiting(now)
+
+        if events:
+            self._scheduler.tell(merge)
+
     def _merge_suspects(self, events: Iterable[SuspectEvent]) -> None:
         now = time.monotonic()
         events = list(events)
@@ -344,10 +404,12 @@
             holdings = self._holding_by_id.values() if is_recent or is_newer else ()
             endpoints = self._endpoint_merger.merge(self._endpoint_by_id, holdings)
         host_count = max(MIN_HOSTS, len(self._host_addresses))
+        is_holder = self._lease.is_held()
         now = time.monotonic()
 
         def update(scheduler: Scheduler) -> None:
             scheduler.host_count = host_count
+            scheduler.parts.may_probe = is_holder
             if view is not None:
                 for endpoint in endpoints:
                     scheduler.record_load(endpoint, view.running_by_id.get(endpoint, 0), 0, now)
--- a/catkinhook/peering/hostmessages.py
+++ b/catkinhook/peering/hostmessages.py
@@ -5,12 +5,14 @@
 import attrs
 
 from catkinhook.control.enginerecords import Demand, EngineRecord
+from catkinhook.peering.partmessages import decode_part_events, encode_part_events
 from catkinhook.peering.thriftfields import (
     decode_suspects,
     encode_count,
     encode_suspects,
     require_fields,
 )
+from catkinhook.requests.partquarantine import PartEvent
 from catkinhook.requests.suspects import SuspectEvent
 from catkinhook.state.gatewayreports import Suspect, make_suspect_events
 from catkinhook.thrift_hosts import ttypes
@@ -31,6 +33,7 @@
     :ivar demand_by_item: demand by service and item.
     :ivar running_by_use: the host's requests in progress by endpoint and model.
     :ivar down: endpoints that the host recently failed to reach.
+    :ivar part_events: evidence about prompt parts that crash engines.
     :ivar known_fence: fencing token of the latest view that the host received.
     :ivar known_revision: revision of that view.
     """
@@ -43,6 +46,7 @@
     running_by_use: dict[tuple[str, str], int]
     down: frozenset[str] = frozenset()
     suspects: tuple[SuspectEvent, ...] = ()
+    part_events: tuple[PartEvent, ...] = ()
     stopping: bool = False
     known_fence: int = 0
     known_revision: int = 0
@@ -71,6 +75,7 @@
     :ivar running_by_id: requests of all hosts in progress by endpoint.
     :ivar wait_by_item: estimated seconds until missing items are available.
     :ivar addresses: thrift listeners of all hosts that reported recently.
+    :ivar part_events: evidence about prompt parts that crash engines.
     :ivar lease_version: version of the lease's row in the store.
     :ivar revision: revision of the holdings.
     """
@@ -83,6 +88,7 @@
     addresses: tuple[str, ...] = ()
     configuration: int = 0
     suspects: tuple[SuspectEvent, ...] = ()
+    part_events: tuple[PartEvent, ...] = ()
     lease_version: int = 0
     revision: int = 0
     running_by_id: dict[str, int] = attrs.Factory(dict)
@@ -126,7 +132,7 @@
             ttypes.EndpointUse(endpoint=endpoint, running=encode_count(running), model=model)
             for (endpoint, model), running in report.running_by_use.items()
         ],
-        suspects=_encode_events(report.suspects, now),
+        suspects=_encode_events(report.suspects, now) + encode_part_events(report.part_events, now),
         stopping=report.stopping,
         known_fence=report.known_fence,
         known_revision=report.known_revision,
@@ -156,6 +162,7 @@
         },
         running_by_use={(use.endpoint, use.model): max(0, use.running) for use in struct.uses},
         suspects=_decode_events(struct.suspects, now),
+        part_events=decode_part_events(struct.suspects, now),
         stopping=struct.stopping,
         known_fence=struct.known_fence,
         known_revision=struct.known_revision,
@@ -185,7 +192,7 @@
         ],
         addresses=list(view.addresses),
         configuration=view.configuration,
-        suspects=_encode_events(view.suspects, now),
+        suspects=_encode_events(view.suspects, now) + encode_part_events(view.part_events, now),
         lease_version=view.lease_version,
         revision=view.revision,
         uses=[
@@ -222,6 +229,7 @@
         addresses=tuple(struct.addresses),
         configuration=struct.configuration,
         suspects=_decode_events(struct.suspects, now),
+        part_events=decode_part_events(struct.suspects, now),
         lease_version=struct.lease_version,
         revision=struct.revision,
         running_by_id={use.endpoint: max(0, use.running) for use in struct.uses},
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
+from urllib.parse import parse_qs
 
 import attrs
 import xxhash
@@ -16,6 +17,7 @@
 from catkinhook.requests.attempts import ConnectionPool
 from catkinhook.requests.endpointactivity import EndpointActivity
 from catkinhook.requests.forwarding import CallerDisconnectedError, Forwarder, Reply
+from catkinhook.requests.quarantinecontrol import QuarantineControl
 from catkinhook.requests.routedrequest import DEFAULT_OUTPUT_TOKENS, RoutedRequest
 from catkinhook.requests.routetable import Route, RouteTable
 from catkinhook.texts import parse_count
@@ -185,28 +187,47 @@
 
 
 class ReadinessApplication:
-    """WSGI application for the readiness check and the metrics.
+    """WSGI application for the readiness check, the metrics and the quarantined prompt parts.
 
     :param render_metrics: returns all metrics in the Prometheus text format.
     """
 
-    def __init__(self, state: HostState, render_metrics: Callable[[], bytes]) -> None:
+    def __init__(
+        self, state: HostState, render_metrics: Callable[[], bytes], quarantines: QuarantineControl
+    ) -> None:
         self._state = state
         self._render_metrics = render_metrics
+        self._quarantines = quarantines
+        self._answer_by_target = {
+            ("GET", "/metrics"): self._answer_metrics,
+            ("GET", "/quarantines"): self._answer_quarantines,
+            ("DELETE", "/quarantines"): self._lift_quarantine,
+        }
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve one request."""
-        if environ["PATH_INFO"] == "/metrics":
-            body = self._render_metrics()
-            start_response("200 OK", [("Content-Length", str(len(body)))])
-            return [body]
-        reason = self._state.explain_unready()
-        body = json.dumps({"ready": not reason, "reason": reason}).encode()
-        status = _status_line(503 if reason else 200)
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-        start_response(status, headers)
+        target = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        answer = self._answer_by_target.get(target, self._answer_readiness)
+        status, content_type, body = answer(environ)
+        headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+        start_response(_status_line(status), headers)
         return [body]
 
+    def _answer_metrics(self, environ: dict) -> tuple[int, str, bytes]:
+        return 200, "text/plain; version=0.0.4; charset=utf-8", self._render_metrics()
+
+    def _answer_readiness(self, environ: dict) -> tuple[int, str, bytes]:
+        reason = self._state.explain_unready()
+        return _encode_json(503 if reason else 200, {"ready": not reason, "reason": reason})
+
+    def _answer_quarantines(self, environ: dict) -> tuple[int, str, bytes]:
+        return _encode_json(200, self._quarantines.list_active())
+
+    def _lift_quarantine(self, environ: dict) -> tuple[int, str, bytes]:
+        key = parse_qs(environ["QUERY_STRING"]).get("parts", [""])[0]
+        is_lifted = self._quarantines.lift(key)
+        return _encode_json(200 if is_lifted else 404, {"parts": key, "lifted": is_lifted})
+
 
 def _parse_request(environ: dict, arrived: float) -> _InboundRequest:
     parsed = environ[PARSED_REQUEST]
@@ -280,6 +301,10 @@
     return Refusal(STEP, "", reason, "busy", 503, Ran.NO, 0.2)
 
 
+def _encode_json(status: int, value: object) -> tuple[int, str, bytes]:
+    return status, "application/json", json.dumps(value).encode()
+
+
 def _status_line(status: int) -> str:
     try:
         return f"{status} {HTTPStatus(status).phrase}"
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+from catkinhook.addresses import split_address
 from catkinhook.errors import Ran
 from catkinhook.platform import protocolnames
 from catkinhook.requests.attempts import (
@@ -31,6 +32,11 @@
 # larger body than this.
 MAX_DRAIN_BYTES = 64 << 10
 DRAIN_TIMEOUT_S = 0.1
+# A crashing process may close its connections before its listener, so the check that finds the
+# listener open is repeated.
+DOWN_CHECKS = 2
+DOWN_CHECK_INTERVAL_S = 0.05
+DOWN_CHECK_TIMEOUT_S = 0.25
 # An endpoint stops its work at the deadline in the request; this time is added to transfer what it
 # has produced by then.
 DEADLINE_GRACE_S = 1.0
@@ -121,6 +127,20 @@
         answer.send(self._method, self._target, headers, self._body, timeout_s, fresh, may_leave)
         return answer
 
+    def is_endpoint_down(self, assignment: Assignment) -> bool:
+        """Return whether the endpoint of an attempt refuses connections."""
+        host, port = split_address(assignment.endpoint.address)
+        for check in range(DOWN_CHECKS):
+            if check:
+                time.sleep(DOWN_CHECK_INTERVAL_S)
+            try:
+                socket.create_connection((host, port), DOWN_CHECK_TIMEOUT_S).close()
+            except ConnectionRefusedError:
+                return True
+            except OSError:
+                return False
+        return False
+
     def abort(self) -> None:
         """Abort an ``open`` in progress from another thread."""
         self._is_aborted = True
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -97,6 +97,9 @@
         :raises AttemptError: if no answer to this attempt was received.
         """
 
+    def is_endpoint_down(self, assignment: Assignment) -> bool:
+        """Return whether the endpoint of an attempt refuses connections, as one that crashed."""
+
     def abort(self) -> None:
         """Cancel an ``open`` from another thread."""
 
@@ -120,7 +123,11 @@
 
 
 class Forwarder:
-    """Runs requests of callers, each in the thread that calls ``run``."""
+    """Runs requests of callers, each in the thread that calls ``run``.
+
+    :param on_waiting: called when a request has to wait for an endpoint.
+    :param on_crash: called when there is new evidence about prompt parts that crash engines.
+    """
 
     def __init__(
         self,
@@ -129,12 +136,14 @@
         metrics: HostMetrics,
         log: DecisionLog,
         on_waiting: Callable[[], None],
+        on_crash: Callable[[], None],
     ) -> None:
         self._scheduler = scheduler
         self._monitor = monitor
         self._metrics = metrics
         self._log = log
         self._on_waiting = on_waiting
+        self._on_crash = on_crash
 
     def run(
         self,
@@ -209,6 +218,20 @@
             lambda scheduler: scheduler.finish(assignment.attempt, outcome, now, is_absent, is_down)
         )
 
+    def record_crash(self, assignment: Assignment, has_started: bool) -> None:
+        """Record that an endpoint crashed before the first event of its answer.
+
+        The next attempt waits for this, so that it takes the crash into account.
+
+        :param has_started: whether the endpoint had started to answer.
+        """
+        now = time.monotonic()
+        self._scheduler.ask(
+            lambda scheduler: scheduler.record_crash(assignment.attempt, has_started, now)
+        )
+        if has_started:
+            self._on_crash()
+
     def record_first_event(self, assignment: Assignment, load: tuple[int, int] | None) -> None:
         """Record the arrival of the first bytes of an answer."""
         now = time.monotonic()
@@ -644,8 +667,24 @@
             self.ran = Ran.UNKNOWN
             self.attempts_run += 1
         self._forwarder.record_attempt(self, assignment, error)
+        if self._has_crashed_endpoint(assignment, error):
+            has_started = self.progress is AttemptProgress.HEAD
+            self._forwarder.record_crash(assignment, has_started)
         self._forwarder.finish(assignment, error.outcome, error.fault)
 
+    def _has_crashed_endpoint(self, assignment: Assignment, error: AttemptError) -> bool:
+        """Return whether an endpoint crashed under a prompt that it had not begun to answer.
+
+        An endpoint that only breaks off its answer has not crashed, and still accepts connections.
+        """
+        return (
+            error.outcome is Outcome.CRASHED
+            and error.ran is not Ran.NO
+            and self.progress is not AttemptProgress.EVENTS
+            and bool(self.request.shared_parts)
+            and self._upstream.is_endpoint_down(assignment)
+        )
+
     def _may_retry(self, error: AttemptError) -> bool:
         if error.outcome is Outcome.CANCELLED or self.attempts_sent >= MAX_ATTEMPTS:
             return False
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -17,6 +17,7 @@
 from catkinhook.requests.endpointindex import EndpointIndex
 from catkinhook.requests.estimates import DecayingMean, Estimates
 from catkinhook.requests.outcomes import Outcome
+from catkinhook.requests.partquarantine import PartQuarantine, Quarantine
 from catkinhook.requests.prefixes import PrefixIndex
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import RouteTable
@@ -119,8 +120,11 @@
     :param origin: unique name of this process, for suspect events.
     :param started_at: start of this process; an earlier process of this host may have used the
         retry budget until then.
+    :param on_quarantine: called with a quarantine of prompt parts that changed, what happened and
+        the time.
     :ivar host_count: number of hosts that share the retry budget.
     :ivar suspects: events about requests that may crash endpoints, exchanged between hosts.
+    :ivar parts: quarantine of prompt parts that crash engines, exchanged between hosts.
     """
 
     def __init__(
@@ -130,6 +134,7 @@
         bounds: Bounds,
         rng: random.Random,
         started_at: float = float("-inf"),
+        on_quarantine: Callable[[Quarantine, str, float], None] = lambda *change: None,
     ) -> None:
         self._zone = zone
         self._bounds = bounds
@@ -157,6 +162,7 @@
         self._started_at = started_at
         self.host_count = 1
         self.suspects = Suspects(origin)
+        self.parts = PartQuarantine(on_quarantine)
 
     # Inputs.
 
@@ -251,7 +257,7 @@
         if not request.is_repeatable or not budget.may_withdraw(self.host_count, now):
             return None
         moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN)
-        decision = self._try_assign(moved, now)
+        decision = self._decide_quarantined(moved, now) or self._try_assign(moved, now)
         if not isinstance(decision, Assignment):
             return None
         budget.try_withdraw(self.host_count, now)
@@ -273,9 +279,9 @@
             self._queue, key=lambda pending: _queue_sort_key(pending.request, now)
         ):
             key = (pending.request.service, pending.request.item)
-            decision: Decision | None = None
+            decision = self._decide_quarantined(pending, now)
             # Excluded endpoints differ between requests, so only first attempts share a result.
-            if key not in blocked_items or pending.exclude:
+            if decision is None and (key not in blocked_items or pending.exclude):
                 decision = self._try_assign(pending, now)
             if decision is None:
                 blocked_items.add(key)
@@ -295,6 +301,7 @@
             return
         state.first_event_at = state.observed_at = now
         request = state.request
+        self.parts.record_answer(request.units, now)
         if request.item:
             full = self._estimates.first_token_seconds(
                 state.endpoint, request.model, request.prompt_tokens, state.load, now
@@ -325,6 +332,19 @@
         state.observed_at = now
         state.events += events
 
+    def record_crash(self, attempt: int, has_started: bool, now: float) -> None:
+        """Record that the endpoint of an attempt crashed before the first event of its answer.
+
+        :param has_started: whether the endpoint had started to answer.
+        """
+        state = self._attempt_by_number.get(attempt)
+        if state is None or state.first_event_at is not None:
+            return
+        view = self._endpoint_by_id.get(state.endpoint)
+        boot_id = view.boot_id if view else ""
+        crash_id = (state.endpoint, boot_id)
+        self.parts.record_crash(state.request.units, crash_id, has_started, now)
+
     def finish(
         self,
         attempt: int,
@@ -415,20 +435,43 @@
         self.dispatch_waiting(now)
         return pending
 
-    def _try_assign(self, pending: PendingRequest, now: float) -> Decision | None:
+    def _decide_quarantined(self, pending: PendingRequest, now: float) -> Decision | None:
+        """Refuse a quarantined request or assign it as a probe; return None for any other."""
         request = pending.request
-        status = self.suspects.status(request.fingerprint, now)
-        if status is SuspectStatus.QUARANTINED:
+        if self.suspects.status(request.fingerprint, now) is SuspectStatus.QUARANTINED:
             reason = "the request crashed endpoints repeatedly and is quarantined"
-            return Refusal(
-                STEP, "", reason, "quarantined", _refusal_status(pending.ran), pending.ran
-            )
+            return self._make_quarantine_refusal(pending, reason, 0.0)
+        quarantine = self.parts.find(request.units)
+        if quarantine is None:
+            return None
+        is_first_attempt = pending.ran is Ran.NO and not pending.exclude
+        if is_first_attempt and self.parts.is_probe_due(request.units, now):
+            assignment = self._try_assign(pending, now)
+            if assignment is not None:
+                self.parts.record_probe(request.units, now)
+                return assignment
+        reason = (
+            f"prompt part {quarantine.key} is quarantined: it crashed "
+            f"{quarantine.describe_crashes(now)}"
+        )
+        retry_after_s = max(RETRY_AFTER_MIN_S, quarantine.probe_due_at() - now)
+        return self._make_quarantine_refusal(pending, reason, min(RETRY_AFTER_MAX_S, retry_after_s))
+
+    def _make_quarantine_refusal(
+        self, pending: PendingRequest, reason: str, retry_after_s: float
+    ) -> Refusal:
+        status = _refusal_status(pending.ran)
+        return Refusal(STEP, "", reason, "quarantined", status, pending.ran, retry_after_s)
+
+    def _try_assign(self, pending: PendingRequest, now: float) -> Assignment | None:
+        request = pending.request
         found = self._usable_endpoints(pending, now)
         best = endpointselection.choose_best([self._predict(request, view, now) for view in found])
         if best is None:
             return None
         view = self._endpoint_by_id[best.endpoint]
-        return self._start_attempt(request, view, status is SuspectStatus.SUSPECT, now)
+        is_suspect = self.suspects.status(request.fingerprint, now) is SuspectStatus.SUSPECT
+        return self._start_attempt(request, view, is_suspect, now)
 
     def _usable_endpoints(self, pending: PendingRequest, now: float) -> list[EndpointView]:
         """Return endpoints with spare capacity that are not ejected, or one that is ejected."""
--- a/catkinhook/requests/routedrequest.py
+++ b/catkinhook/requests/routedrequest.py
@@ -1,10 +1,12 @@
 """Requests of a host whose route is known, and the scheduler's decisions on them."""
 
 import enum
+import functools
 
 import attrs
 
 from catkinhook.errors import Refusal
+from catkinhook.requests.partevidence import list_units
 from catkinhook.requests.routetable import RetryMode, Route
 from catkinhook.state.views import EndpointView
 
@@ -61,6 +63,11 @@
         """Model of the item, empty for a plain service."""
         return self.item.partition("/")[0]
 
+    @functools.cached_property
+    def units(self) -> tuple[str, ...]:
+        """Units of the prompt that may be blamed for a crash, see ``partevidence``."""
+        return list_units(self.service, self.model, self.shared_parts)
+
     @property
     def tokens(self) -> int:
         """Largest number of KV cache tokens that the request can use."""
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,167 @@
+"""A complete host whose engines crash when they start to answer prompts with one part."""
+
+import http.client
+import json
+import socket
+import threading
+import unittest
+from http.server import BaseHTTPRequestHandler
+
+import attrs
+
+from catkinhook.host import Host
+from catkinhook.hostsettings import Bounds
+from catkinhook.platform.assembly import make_platform
+from catkinhook.requests.partevidence import SAME_CAUSE_S
+from tests.hostcase import WAIT_S, HostCase, find_port, wait_until
+from tests.platform_fakes import FakeEndpoint
+
+ENGINES = 8
+DEADLY = "d9"
+
+
+class FragileEngine(FakeEndpoint):
+    """Engine that ends when it starts to answer a prompt with the deadly part.
+
+    :ivar survives: whether it only breaks off such answers and accepts connections again.
+    """
+
+    survives = False
+
+    def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
+        if DEADLY not in request.headers.get("Prompt-Prefix", ""):
+            super()._handle_request(request)
+            return
+        request.send_response(200)
+        request.send_header("Attempt-Id", request.headers["Attempt-Id"])
+        request.send_header("Response-Seal", "seal")
+        request.send_header("Content-Type", "text/event-stream")
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        request.close_connection = True
+        if not self.survives:
+            self._server.socket.shutdown(socket.SHUT_RDWR)
+            threading.Thread(target=self.close).start()
+
+
+class CrashingPartsTest(HostCase):
+    """Requests of which no two are alike, some of them with a part that crashes engines."""
+
+    endpoint_class = FragileEngine
+    # A busy machine renews a lease of 1 s too late, and hosts without a holder learn of no peers.
+    bounds = Bounds(lease_s=3.0, grace_s=4.0)
+
+    def setUp(self) -> None:
+        super().setUp()
+        for number in range(3, ENGINES + 1):
+            engine = FragileEngine(f"i-e{number}", ("m1",))
+            engine.start()
+            self.addCleanup(engine.close)
+            self.engines.append(engine)
+            self.store.put("servers", engine.endpoint, engine.entry("llm"))
+        self.number = 0
+        # All engines are known when a request can go to each.
+        wait_until(lambda: self.count_known_engines() == ENGINES)
+
+    def count_known_engines(self) -> int:
+        views = self.host.holder_link._endpoint_by_id.values()
+        return sum("m1" in view.models for view in views)
+
+    def send_prompt(self, *parts: str) -> tuple[http.client.HTTPResponse, bytes]:
+        """Send a stream request with shared parts and one of its own."""
+        self.number += 1
+        own = f"0e{self.number:06x}"
+        prefix = ",".join(f"{part}:100" for part in (*parts, own))
+        headers = {"Model": "m1", "Token_Usage": "10,20", "Prompt_Prefix": prefix}
+        return self.send_request("POST", f"/live/{own}", own.encode(), **headers)
+
+    def count_sent(self) -> int:
+        return len(self.received_requests(self.engines))
+
+    def crash_engines(self) -> None:
+        """Send prompts with the deadly part until it is quarantined."""
+        for number in range(4):
+            answer, body = self.send_prompt("f1", f"s{number}", DEADLY)
+            if answer.status == 503 and b"quarantined" in body:
+                return
+            sound, _ = self.send_prompt("f1", f"s{number}")
+            self.assertEqual(sound.status, 200)
+            threading.Event().wait(SAME_CAUSE_S)
+        self.fail("the part is not quarantined")
+
+    def test_part_of_prompts_of_which_no_two_are_alike_is_refused(self) -> None:
+        """Guards against engines that crash one after the other under a part of a prompt."""
+        self.crash_engines()
+        crashed = sum(engine._is_closed for engine in self.engines)
+        self.assertLessEqual(crashed, 4)
+        sent = self.count_sent()
+        for number in range(5):
+            answer, body = self.send_prompt("f2", f"t{number}", DEADLY)
+            self.assertEqual(answer.status, 503)
+            problem = json.loads(body)
+            self.assertEqual((problem["title"], problem["ran"]), ("quarantined", "no"))
+            self.assertIn(DEADLY, problem["detail"])
+        self.assertEqual(self.count_sent(), sent)
+        for number in range(5):
+            self.assertEqual(self.send_prompt("f1", f"s{number}")[0].status, 200)
+
+    def test_answers_that_are_broken_off_quarantine_nothing(self) -> None:
+        """Guards against quarantine of parts whose engines break off answers without crashing."""
+        for engine in self.engines:
+            engine.survives = True
+        for number in range(4):
+            self.send_prompt("f1", f"s{number}", DEADLY)
+            self.assertEqual(self.send_prompt("f1", f"s{number}")[0].status, 200)
+            threading.Event().wait(SAME_CAUSE_S)
+        self.assertEqual(self.list_quarantines(), [])
+
+    def call_operator(self, method: str, target: str) -> tuple[int, object]:
+        connection = http.client.HTTPConnection(self.settings.ready_address, timeout=WAIT_S)
+        self.addCleanup(connection.close)
+        connection.request(method, target)
+        answer = connection.getresponse()
+        return answer.status, json.loads(answer.read())
+
+    def list_quarantines(self) -> object:
+        return self.call_operator("GET", "/quarantines")[1]
+
+    def test_operator_lists_and_lifts_a_quarantine(self) -> None:
+        """Guards against a part that stays refused after its fault was mended."""
+        self.crash_engines()
+        (listed,) = self.list_quarantines()
+        self.assertEqual(listed["parts"], f"llm/{DEADLY}")
+        self.assertIn("s ago", listed["crashes"])
+        for engine in self.engines:
+            engine.survives = True
+        target = f"/quarantines?parts={listed['parts']}"
+        self.assertEqual(self.call_operator("DELETE", target)[0], 200)
+        self.assertEqual(self.call_operator("DELETE", target)[0], 404)
+        sent = self.count_sent()
+        self.send_prompt("f1", "s1", DEADLY)
+        self.assertGreater(self.count_sent(), sent)
+
+    def test_evidence_reaches_another_host_and_one_that_starts_later(self) -> None:
+        """Guards against hosts that send what another one has found to crash engines."""
+        other = self.start_host("front-2")
+        wait_until(lambda: len(self.host.holder_link.peer_addresses()) == 2)
+        self.crash_engines()
+        later = self.start_host("front-3")
+        for host in (other, later):
+            wait_until(lambda host=host: host._scheduler.ask(lambda s: bool(s.parts.active())))
+
+    def start_host(self, node: str) -> Host:
+        settings = attrs.evolve(
+            self.settings,
+            node=node,
+            front_address=f"127.0.0.1:{find_port()}",
+            ready_address=f"127.0.0.1:{find_port()}",
+            peer_address=f"127.0.0.1:{find_port()}",
+        )
+        host = Host(settings, make_platform(settings))
+        host.kernel.start()
+        self.addCleanup(host.kernel.close)
+        return host
+
+
+if __name__ == "__main__":
+    unittest.main()
