Resend events of crashing requests for three exchange intervals

A request that crashed an engine right after an exchange of its host was not known to any other host when a deployment has more than 60 hosts: events older than 1.5 s are not sent, while 75 hosts exchange every 1.9 s. The same request could then crash engines through other hosts.

The maximum age now follows the interval. test_crash_right_after_an_exchange_is_in_the_next_one failed before: 0 != 1.

--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -57,8 +57,10 @@
 # configuration, before the next call to the store. Each unreachable host takes ``PEER_TIMEOUT_S``,
 # which adds up to 44 s for 88 hosts.
 MAX_QUERIED_PEERS = 2
-# Maximum age of suspect events that are resent; after a change of holder, all are sent.
+# Maximum age of suspect events that are resent, or ``RESENDING_EXCHANGES`` exchange intervals if
+# longer; after a change of holder, all are sent.
 SUSPECT_RESEND_S = 1.5
+RESENDING_EXCHANGES = 3
 # Maximum age of evidence about prompt parts in messages. It spans several exchanges, of which some
 # may fail.
 PART_EVENT_RESEND_S = 10.0
@@ -227,7 +229,7 @@
     def make_report(self) -> HostReport:
         """Return this host's report to the holder."""
         now = time.monotonic()
-        max_age = SUSPECT_RESEND_S if self._known_view[0] else float("inf")
+        max_age = self._suspect_resend_s() if self._known_view[0] else float("inf")
 
         def read_state(
             scheduler: Scheduler,
@@ -277,7 +279,8 @@
             self._exchange_requested.set()
         self._merge_suspects(report.suspects)
         now = time.monotonic()
-        max_age = SUSPECT_RESEND_S if report.known_fence == view.fence else float("inf")
+        is_known = report.known_fence == view.fence
+        max_age = self._suspect_resend_s() if is_known else float("inf")
         events = self._scheduler.ask(lambda s: s.suspects.events(now, MAX_SUSPECTS, max_age))
         return attrs.evolve(
             view,
@@ -358,6 +361,10 @@
         record = self._lease.holder()
         return record.address if record is not None else ""
 
+    def _suspect_resend_s(self) -> float:
+        interval = exchange_interval(len(self._host_addresses))
+        return max(SUSPECT_RESEND_S, RESENDING_EXCHANGES * interval)
+
     def _other_addresses(self) -> list[str]:
         return [address for address in self._host_addresses if address != self._address]
 
--- a/tests/test_holderlink.py
+++ b/tests/test_holderlink.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 import unittest
 from typing import Any
 from unittest import mock
@@ -11,7 +12,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from catkinhook.clocks import monotonic
-from catkinhook.control.ordercoordinator import EXCHANGE_INTERVAL_S
+from catkinhook.control.ordercoordinator import EXCHANGE_INTERVAL_S, exchange_interval
 from catkinhook.errors import StepError
 from catkinhook.host import PEER_TIMEOUT_S
 from catkinhook.hostsettings import Bounds
@@ -28,6 +29,7 @@
 from catkinhook.peering.peers import COMPACT_PROTOCOL
 from catkinhook.platform.records import decode_endpoint
 from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.suspects import EventKind
 from catkinhook.stateactor import StateActor
 from catkinhook.thrift_hosts import ttypes
 from tests.odd_values import MAX_I32, encode_on_wire
@@ -183,6 +185,41 @@
         self.assertGreater(len(set(pool.queried)), 30)
 
 
+class SuspectExchangeTest(unittest.TestCase):
+    """Suspect events of whole requests between many hosts."""
+
+    def test_crash_right_after_an_exchange_is_in_the_next_one(self) -> None:
+        """Guards against a crash that no other host learns of, as its event is too old to be sent.
+
+        With 75 hosts, a host exchanges every 1.9 s.
+        """
+        hosts = 75
+        scheduler = StateActor(Scheduler("z", "host", Bounds(), random.Random(1)))
+        scheduler.start()
+        self.addCleanup(scheduler.close)
+        lease = mock.Mock(is_held=mock.Mock(return_value=True), version=lambda: 1)
+        link = HolderLink(
+            "host",
+            "10.0.0.1:1",
+            "a",
+            scheduler,
+            mock.Mock(),
+            mock.Mock(),
+            DecisionLog("host"),
+            monotonic,
+        )
+        addresses = tuple(f"10.0.0.{number}:1" for number in range(hosts))
+        view = HolderView(node="host", fence=1, holds=True, addresses=addresses)
+        link._coordinator.handle_report.return_value = view
+        link.set_dependencies(lease, lambda: 3, lambda address: None)
+        link._exchange()
+        crashed_at = time.monotonic() - exchange_interval(hosts)
+        scheduler.ask(lambda s: s.suspects.record(EventKind.CRASH, "f", "m", crashed_at, "e", "1"))
+        report = link.make_report()
+        self.assertEqual(len(report.suspects), 1)
+        self.assertEqual(len(link.handle_report(report).suspects), 1)
+
+
 class MessageBoundsTest(unittest.TestCase):
     """Numbers in messages that the fields of the messages can't hold."""
 
