Cancel attempts under a prompt part that has just been quarantined

Requests with a deadly part that were at an engine when the part was quarantined still crashed it, each crash cutting the streams beside it.

When a quarantine is added, a host closes the connections of its attempts that are covered and have no event yet, which makes the engine drop them. Their callers get 502 with the code 'quarantined'. An attempt that this process aborts no longer counts as a crash of its endpoint.

test_attempts_in_progress_are_cancelled failed before: the caller waited for more than 1 s (TimeoutError).

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -243,7 +243,7 @@
             lambda: (self.configuration.version, self.configuration.text),
             lambda: self.endpoints.entries,
         )
-        forwarder = Forwarder(
+        self._forwarder = forwarder = Forwarder(
             scheduler,
             disconnect_monitor,
             self.metrics,
@@ -299,6 +299,11 @@
         return ""
 
     def _record_quarantine(self, quarantine: Quarantine, change: str, now: float) -> None:
+        if change.startswith("added"):
+            # Sent in the actor's next turn, when the quarantine is in force.
+            self._scheduler.tell(
+                lambda scheduler: self._forwarder.cancel_attempts(scheduler.quarantined_attempts())
+            )
         self.log.record(
             "quarantine",
             outcome=change,
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -141,6 +141,12 @@
                 return False
         return False
 
+    def cancel_attempt(self) -> None:
+        """Cancel the attempt in progress from another thread."""
+        answer = self._answer
+        if answer is not None:
+            answer.abort()
+
     def abort(self) -> None:
         """Abort an ``open`` in progress from another thread."""
         self._is_aborted = True
@@ -219,6 +225,8 @@
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
             outcome = Outcome.BROKEN if ran is Ran.NO else _find_outcome(error)
+            if self._is_aborted:
+                outcome = Outcome.CANCELLED
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._process_head()
 
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 import attrs
@@ -100,6 +100,9 @@
     def is_endpoint_down(self, assignment: Assignment) -> bool:
         """Return whether the endpoint of an attempt refuses connections, as one that crashed."""
 
+    def cancel_attempt(self) -> None:
+        """Cancel the attempt in progress from another thread; another one may follow."""
+
     def abort(self) -> None:
         """Cancel an ``open`` from another thread."""
 
@@ -144,6 +147,8 @@
         self._log = log
         self._on_waiting = on_waiting
         self._on_crash = on_crash
+        self._lock = threading.Lock()
+        self._job_by_attempt: dict[int, _Job] = {}
 
     def run(
         self,
@@ -160,8 +165,21 @@
         job = _Job(self, request, upstream, is_disconnected, last_event)
         return job.run()
 
+    def cancel_attempts(self, attempts: Iterable[int]) -> None:
+        """End attempts at endpoints that a quarantined prompt part may crash."""
+        with self._lock:
+            jobs = [self._job_by_attempt.get(attempt) for attempt in attempts]
+        for job in jobs:
+            if job is not None:
+                job.cancel_quarantined()
+
     # Methods for ``_Job``.
 
+    def begin_attempt(self, job: "_Job", assignment: Assignment) -> None:
+        """Let ``cancel_attempts`` find an attempt."""
+        with self._lock:
+            self._job_by_attempt[assignment.attempt] = job
+
     def wait_for_assignment(self, job: "_Job") -> Decision | None:
         """Wait for an endpoint; return None if the request must not be retried."""
         decided = threading.Event()
@@ -212,6 +230,8 @@
 
         :param fault: ``absent`` if the endpoint lacks the item, ``down`` if it can't be reached.
         """
+        with self._lock:
+            self._job_by_attempt.pop(assignment.attempt, None)
         now = time.monotonic()
         is_absent, is_down = fault == "absent", fault == "down"
         self._scheduler.tell(
@@ -351,6 +371,7 @@
         self._next_assignment: Assignment | None = None
         self._answer: UpstreamAnswer | None = None
         self._is_disconnected = False
+        self._is_quarantined = False
         self.on_disconnect: Callable[[], None] | None = None
 
     def abort(self) -> None:
@@ -364,6 +385,12 @@
         if answer is not None:
             answer.abort()
 
+    def cancel_quarantined(self) -> None:
+        """Cancel the attempt in progress, unless the caller has events of its answer."""
+        if self.progress is not AttemptProgress.EVENTS:
+            self._is_quarantined = True
+            self._upstream.cancel_attempt()
+
     def run(self) -> Reply | Refusal:
         """Run the request."""
         try:
@@ -447,6 +474,7 @@
             self.event_order.resume()
         last_event = self.event_order.last if self._is_resume or self.event_order.last else None
         self._forwarder.watch_caller(self)
+        self._forwarder.begin_attempt(self, assignment)
         self._answer = self._upstream.open(
             assignment,
             time_left,
@@ -699,6 +727,9 @@
         status = 503 if self.ran is Ran.NO else 504 if is_timed_out else 502
         reason = f"{error.reason}; {no_retry_reason}"
         code = "late" if is_timed_out else "endpoint-failed"
+        if self._is_quarantined:
+            reason = f"its prompt has a quarantined part; {reason}"
+            code = "quarantined"
         return Refusal(error.step, error.peer, reason, code, status, self.ran, 0.5)
 
 
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -406,6 +406,14 @@
             summary[key] = (rate, unmet, waiting.get(key, 0), demand.in_progress)
         return summary
 
+    def quarantined_attempts(self) -> list[int]:
+        """Return the attempts whose endpoint may crash when it starts to answer."""
+        return [
+            number
+            for number, attempt in self._attempt_by_number.items()
+            if attempt.first_event_at is None and self.parts.find(attempt.request.units) is not None
+        ]
+
     def count_running(self) -> dict[tuple[str, str], int]:
         """Return this host's requests in progress by endpoint and model."""
         attempts = self._attempt_by_number.values()
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,7 +4,9 @@
 import json
 import socket
 import threading
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from http.server import BaseHTTPRequestHandler
 
 import attrs
@@ -32,6 +34,7 @@
         if DEADLY not in request.headers.get("Prompt-Prefix", ""):
             super()._handle_request(request)
             return
+        time.sleep(self.head_pause_s)
         request.send_response(200)
         request.send_header("Attempt-Id", request.headers["Attempt-Id"])
         request.send_header("Response-Seal", "seal")
@@ -67,12 +70,12 @@
         views = self.host.holder_link._endpoint_by_id.values()
         return sum("m1" in view.models for view in views)
 
-    def send_prompt(self, *parts: str) -> tuple[http.client.HTTPResponse, bytes]:
+    def send_prompt(self, *parts: str, model: str = "m1") -> tuple[http.client.HTTPResponse, bytes]:
         """Send a stream request with shared parts and one of its own."""
         self.number += 1
         own = f"0e{self.number:06x}"
         prefix = ",".join(f"{part}:100" for part in (*parts, own))
-        headers = {"Model": "m1", "Token_Usage": "10,20", "Prompt_Prefix": prefix}
+        headers = {"Model": model, "Token_Usage": "10,20", "Prompt_Prefix": prefix}
         return self.send_request("POST", f"/live/{own}", own.encode(), **headers)
 
     def count_sent(self) -> int:
@@ -115,6 +118,24 @@
             threading.Event().wait(SAME_CAUSE_S)
         self.assertEqual(self.list_quarantines(), [])
 
+    def test_attempts_in_progress_are_cancelled(self) -> None:
+        """Guards against engines that crash under requests that were sent before the quarantine."""
+        for engine in self.engines:
+            # The request below must not wait for its model to be loaded there.
+            engine.order_status = 409
+        slow = FragileEngine("i-slow", ("m3",))
+        slow.head_pause_s = WAIT_S
+        slow.start()
+        self.addCleanup(slow.close)
+        self.store.put("servers", slow.endpoint, slow.entry("llm"))
+        with ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(self.send_prompt, "f1", "s9", DEADLY, model="m3")
+            wait_until(lambda: bool(slow.received))
+            self.crash_engines()
+            answer, body = waiting.result(timeout=1.0)
+        self.assertEqual((answer.status, json.loads(body)["title"]), (502, "quarantined"))
+        self.assertFalse(self.host._scheduler.ask(lambda s: s.count_running()))
+
     def call_operator(self, method: str, target: str) -> tuple[int, object]:
         connection = http.client.HTTPConnection(self.settings.ready_address, timeout=WAIT_S)
         self.addCleanup(connection.close)
