Count a stream that ends without an event as a crash if its engine is down

Callers would have seen one engine after another crash under a part of a prompt that is never refused, where engines send streams with neither a length nor chunks. The end of such a stream is an ordinary end of its connection, so the attempt is "broken" and not "crashed", and no evidence was recorded.

The fault "sequence" now counts too. The check that the engine refuses connections still applies, so an engine that only breaks off a stream blames nothing.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -44,6 +44,8 @@
 # Largest answer that is buffered before it is sent, which bounds the memory of a request.
 MAX_ANSWER_BYTES = 8 * MIB
 EVENT_STREAM = "text/event-stream"
+# Fault of an answer whose events are incomplete or out of order.
+SEQUENCE_FAULT = "sequence"
 
 
 class UpstreamAnswer(Protocol):
@@ -579,7 +581,7 @@
                 raise EventError("the stream ended without an event")
         except EventError as error:
             raise AttemptError(
-                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault="sequence"
+                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault=SEQUENCE_FAULT
             ) from error
 
     def _accept(self, blocks: list[bytes]) -> tuple[bytes, int, EventError | None]:
@@ -676,9 +678,11 @@
         """Return whether an endpoint crashed under a prompt that it had not begun to answer.
 
         An endpoint that only breaks off its answer has not crashed, and still accepts connections.
+        A stream without length and chunks has no broken connection; it only ends too early.
         """
+        is_broken_off = error.outcome is Outcome.CRASHED or error.fault == SEQUENCE_FAULT
         return (
-            error.outcome is Outcome.CRASHED
+            is_broken_off
             and error.ran is not Ran.NO
             and self.progress is not AttemptProgress.EVENTS
             and bool(self.request.shared_parts)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -24,9 +24,11 @@
     """Engine that ends when it starts to answer a prompt with the deadly part.
 
     :ivar survives: whether it only breaks off such answers and accepts connections again.
+    :ivar is_framed: whether such answers are sent in chunks; otherwise they end with the connection.
     """
 
     survives = False
+    is_framed = True
 
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         if DEADLY not in request.headers.get("Prompt-Prefix", ""):
@@ -36,7 +38,8 @@
         request.send_header("Attempt-Id", request.headers["Attempt-Id"])
         request.send_header("Response-Seal", "seal")
         request.send_header("Content-Type", "text/event-stream")
-        request.send_header("Transfer-Encoding", "chunked")
+        if self.is_framed:
+            request.send_header("Transfer-Encoding", "chunked")
         request.end_headers()
         request.close_connection = True
         if not self.survives:
@@ -105,6 +108,12 @@
         for number in range(5):
             self.assertEqual(self.send_prompt("f1", f"s{number}")[0].status, 200)
 
+    def test_part_whose_answers_have_neither_length_nor_chunks_is_refused(self) -> None:
+        """Guards against crashes that look like the ordinary end of a stream."""
+        for engine in self.engines:
+            engine.is_framed = False
+        self.crash_engines()
+
     def test_answers_that_are_broken_off_quarantine_nothing(self) -> None:
         """Guards against quarantine of parts whose engines break off answers without crashing."""
         for engine in self.engines:
