Do not clear a part of a prompt by an error answer of an engine

Callers would have seen a deadly part accepted again: any answer cleared the crashes of its parts and lifted their quarantine, errors included. An engine whose deadline ends while it still reads the prompt answers 504 without having begun to write, so requests with little time left cleared the part each time.

The estimates still take every answer.

test_failure_of_an_engine_does_not_clear_a_part failed before: ValueError: not enough values to unpack (expected 1, got 0), as two crashes with a 504 between them left no quarantine.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from http import HTTPStatus
 from typing import Protocol
 
 import attrs
@@ -234,12 +235,17 @@
         if has_started:
             self._on_crash()
 
-    def record_first_event(self, assignment: Assignment, load: tuple[int, int] | None) -> None:
-        """Record the arrival of the first bytes of an answer."""
+    def record_first_event(
+        self, assignment: Assignment, load: tuple[int, int] | None, is_success: bool = True
+    ) -> None:
+        """Record the arrival of the first bytes of an answer.
+
+        :param is_success: whether the answer is not an error.
+        """
         now = time.monotonic()
 
         def record(scheduler: Scheduler) -> None:
-            scheduler.record_first_event(assignment.attempt, now)
+            scheduler.record_first_event(assignment.attempt, now, is_success)
             if load is not None:
                 scheduler.record_load(assignment.endpoint.endpoint, load[0], load[1], now)
 
@@ -529,7 +535,8 @@
                 answer.status,
                 Outcome.FAILED,
             )
-        self._forwarder.record_first_event(assignment, answer.load)
+        is_success = answer.status < HTTPStatus.BAD_REQUEST
+        self._forwarder.record_first_event(assignment, answer.load, is_success)
         answer.finish()
         self._answer = None
         self._forwarder.unwatch_caller(self)
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -294,14 +294,19 @@
                 pending.on_decision(decision)
         self._queue = remaining
 
-    def record_first_event(self, attempt: int, now: float) -> None:
-        """Record the arrival of the first bytes of an attempt's answer."""
+    def record_first_event(self, attempt: int, now: float, is_success: bool = True) -> None:
+        """Record the arrival of the first bytes of an attempt's answer.
+
+        :param is_success: whether the answer is not an error. An error shows nothing about the
+            prompt: an engine whose deadline ends while it reads the prompt answers 504.
+        """
         state = self._attempt_by_number.get(attempt)
         if state is None or state.first_event_at is not None:
             return
         state.first_event_at = state.observed_at = now
         request = state.request
-        self.parts.record_answer(request.units, now)
+        if is_success:
+            self.parts.record_answer(request.units, now)
         if request.item:
             full = self._estimates.first_token_seconds(
                 state.endpoint, request.model, request.prompt_tokens, state.load, now
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -24,19 +24,25 @@
     """Engine that ends when it starts to answer a prompt with the deadly part.
 
     :ivar survives: whether it only breaks off such answers and accepts connections again.
-    :ivar is_framed: whether such answers are sent in chunks; otherwise they end with the connection.
+    :ivar is_framed: whether such answers are sent in chunks, or else end with their connection.
+    :ivar failure_status: status of answers to such prompts in place of a crash, 0 for none.
     """
 
     survives = False
     is_framed = True
+    failure_status = 0
 
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         if DEADLY not in request.headers.get("Prompt-Prefix", ""):
             super()._handle_request(request)
             return
-        request.send_response(200)
+        request.send_response(self.failure_status or 200)
         request.send_header("Attempt-Id", request.headers["Attempt-Id"])
         request.send_header("Response-Seal", "seal")
+        if self.failure_status:
+            request.send_header("Content-Length", "0")
+            request.end_headers()
+            return
         request.send_header("Content-Type", "text/event-stream")
         if self.is_framed:
             request.send_header("Transfer-Encoding", "chunked")
@@ -114,6 +120,21 @@
             engine.is_framed = False
         self.crash_engines()
 
+    def test_failure_of_an_engine_does_not_clear_a_part(self) -> None:
+        """Guards against a deadline that ends while a prompt is read, and clears its deadly part.
+
+        An engine then answers 504 before it begins to write.
+        """
+        for status in (0, 504, 0):
+            for engine in self.engines:
+                engine.failure_status = status
+            answer, _ = self.send_prompt("f1", "s1", DEADLY)
+            self.assertEqual(answer.status, status or 502)
+            self.assertEqual(self.send_prompt("f1", "s2")[0].status, 200)
+            threading.Event().wait(SAME_CAUSE_S)
+        (listed,) = self.list_quarantines()
+        self.assertIn(DEADLY, listed["parts"])
+
     def test_answers_that_are_broken_off_quarantine_nothing(self) -> None:
         """Guards against quarantine of parts whose engines break off answers without crashing."""
         for engine in self.engines:
