Bound the exponent of the time to the next probe of a quarantined part

One invalid message with a count of strikes above 1024 would have stopped a host: hold_s raised OverflowError, each decision on a request with the part raised it again, and the queue of the host was no longer dispatched.

The exponent is now at most 16, which is more than the maximum time needs.

test_number_of_strikes_in_a_message_is_bounded failed before: OverflowError: (34, 'Numerical result out of range').

--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -21,6 +21,8 @@
 # Time after which quarantined parts are probed. It doubles after each probe that crashes an engine.
 FIRST_HOLD_S = 60.0
 MAX_HOLD_S = 3600.0
+# Enough to reach the maximum. Strikes come in messages, and 2.0 to a power above 1023 overflows.
+MAX_HOLD_DOUBLINGS = 16
 # A probe that ended without a result is repeated after this time.
 PROBE_INTERVAL_S = 30.0
 # Time for which the strikes of a lifted quarantine are remembered.
@@ -95,7 +97,8 @@
     @property
     def hold_s(self) -> float:
         """Seconds after which the units may be probed."""
-        return min(MAX_HOLD_S, FIRST_HOLD_S * 2.0 ** (self.strikes - 1))
+        doublings = min(self.strikes - 1, MAX_HOLD_DOUBLINGS)
+        return min(MAX_HOLD_S, FIRST_HOLD_S * 2.0**doublings)
 
     def probe_due_at(self) -> float:
         """Return the time from which a probe may be sent."""
