Tell a host that was cut off that a quarantine was lifted meanwhile

Callers of a host that was frozen or cut off for over 10 s while a quarantine was lifted would have been refused for as long as that host runs: lifted quarantines are sent for 10 s only, and only the holder sends the probes that could lift it again. Hosts that start later would have taken the quarantine over from it.

A host that gets a quarantine that it knows to be lifted now sends the lift for another 10 s, so it is in the answer to that very report. Without such reports nothing more is sent.

test_host_that_was_cut_off_learns_that_a_quarantine_was_lifted failed before: Quarantine(units=('llm/d9',), at=102.0, ...) is not None.

--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -73,6 +73,7 @@
     :ivar suspected_since: time of the first crash that counted.
     :ivar strikes: number of times that the units were quarantined, which orders the states that
         hosts exchange. Their clocks differ, so times can't.
+    :ivar contradicted_at: time at which a host last sent this lifted quarantine as in force.
     :ivar crash_by_id: the crashes that counted.
     """
 
@@ -81,6 +82,7 @@
     suspected_since: float
     strikes: int = 1
     lifted_at: float | None = None
+    contradicted_at: float = float("-inf")
     probed_at: float = float("-inf")
     crash_by_id: dict[CrashId, Crash] = attrs.Factory(dict)
 
@@ -189,7 +191,8 @@
         """Return events for another host, the most important first.
 
         :param max_age: seconds after which evidence and lifted quarantines are omitted. Those in
-            force are always included, so that a host that has just started learns of them.
+            force are always included, so that a host that has just started learns of them. Lifted
+            ones are included again after a host that was cut off has sent them as in force.
         """
         self._expire(now)
         evidence = [event for event in self._evidence_events(now) if event.age <= max_age]
@@ -216,6 +219,8 @@
     def _merge_quarantine(self, event: PartEvent, now: float) -> bool:
         known = self._quarantine_by_key.get(event.units)
         if known is not None and known.strikes >= event.strikes:
+            if not known.is_active:
+                known.contradicted_at = now
             return False
         units = tuple(event.units.split(UNIT_SEPARATOR))
         self._add(units, now - event.age, event.strikes, "added: another host", now)
@@ -235,7 +240,8 @@
             kind, at = PartEventKind.QUARANTINED, quarantine.at
             if quarantine.lifted_at is not None:
                 kind, at = PartEventKind.LIFTED, quarantine.lifted_at
-            if quarantine.is_active or now - at <= max_age:
+            told_at = max(at, quarantine.contradicted_at)
+            if quarantine.is_active or now - told_at <= max_age:
                 strikes = quarantine.strikes
                 events.append(
                     PartEvent(kind=kind, units=quarantine.key, age=now - at, strikes=strikes)
--- a/tests/test_partexchange.py
+++ b/tests/test_partexchange.py
@@ -2,12 +2,54 @@
 
 import unittest
 
-from catkinhook.requests.partquarantine import MAX_HOLD_S, Quarantine
+from catkinhook.peering.partmessages import MAX_PART_EVENTS
+from catkinhook.requests.partevidence import list_units
+from catkinhook.requests.partquarantine import MAX_HOLD_S, PartQuarantine, Quarantine
+
+MAX_AGE_S = 10.0
+FIRST = "f1"
+DEADLY = "d9"
+
+
+def make_host() -> PartQuarantine:
+    return PartQuarantine(lambda *change: None)
+
+
+def make_units(*parts: str, model: str = "m1") -> tuple[str, ...]:
+    return list_units("llm", model, parts)
+
+
+def exchange(sender: PartQuarantine, receiver: PartQuarantine, now: float) -> bool:
+    """Send a report to a host that answers with its own evidence; return what ``merge`` did."""
+    is_new = receiver.merge(sender.events(now, MAX_PART_EVENTS, MAX_AGE_S), now)
+    sender.merge(receiver.events(now, MAX_PART_EVENTS, MAX_AGE_S), now)
+    return is_new
 
 
 class QuarantineExchangeTest(unittest.TestCase):
     """Quarantines that hosts learn from each other."""
 
+    def test_host_that_was_cut_off_learns_that_a_quarantine_was_lifted(self) -> None:
+        """Guards against a host that refuses a sound part for as long as it runs.
+
+        Only the holder sends probes, so such a host never finds out by itself.
+        """
+        holder, frozen = make_host(), make_host()
+        now = 100.0
+        for number in range(2):
+            now += 1.0
+            holder.record_crash(make_units(FIRST, DEADLY), (f"e{number}", "1"), True, now)
+            holder.record_answer(make_units(FIRST), now + 0.1)
+        exchange(holder, frozen, now)
+        self.assertIsNotNone(frozen.find(make_units(DEADLY)))
+        holder.record_answer(make_units(FIRST, DEADLY), now + 1.0)
+        now += 1.0 + 2 * MAX_AGE_S
+        for _ in range(2):
+            exchange(frozen, holder, now)
+        self.assertIsNone(frozen.find(make_units(DEADLY)))
+        self.assertIsNone(holder.find(make_units(DEADLY)))
+        self.assertFalse(exchange(frozen, holder, now + 2 * MAX_AGE_S))
+
     def test_number_of_strikes_in_a_message_is_bounded(self) -> None:
         """Guards against an invalid message after which each decision of a host fails."""
         quarantine = Quarantine(units=("llm/d",), at=0.0, suspected_since=0.0, strikes=2**31 - 1)
