Push crashes to other hosts only if they make a suspicion graver

When more engines crash at once under one part than a host keeps crashes of (8), as in the power loss of a zone, all hosts would have sent full reports to each other at the maximum rate, 30 a second and host, for 10 s: each host keeps the newest crashes, but their order by time differs between hosts by milliseconds. Each takes what it dropped for new when it comes back from another host, and pushes it on. That loads hosts with 0.4 of a core in the very moment in which their requests are retried.

A crash from another host now counts as new only if the weight of the suspicion grows, which crashes within SAME_CAUSE_S don't do.

--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -206,8 +206,15 @@
         return any(event.kind in _URGENT_KINDS for event in new)
 
     def _merge_crash(self, event: PartEvent, now: float) -> bool:
+        """Add a crash; return whether it makes the suspicion graver.
+
+        Crashes at the same time don't: of more than a unit can have, each host keeps others, and
+        would take those of its peers for new ones without end.
+        """
+        before = weigh(self._evidence.open_crashes(event.units).values())
         crash = Crash(now - event.age, event.kind is PartEventKind.STARTED)
-        return self._evidence.add_crash(event.units, (event.endpoint, event.boot_id), crash)
+        self._evidence.add_crash(event.units, (event.endpoint, event.boot_id), crash)
+        return weigh(self._evidence.open_crashes(event.units).values()) > before
 
     def _merge_answer(self, event: PartEvent, now: float) -> bool:
         if not self._evidence.open_crashes(event.units):
--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -18,6 +18,7 @@
 from catkinhook.peering.thriftfields import decode_suspects
 from catkinhook.requests.partevidence import (
     MAX_ANSWERED_UNITS,
+    MAX_CRASHES_PER_UNIT,
     MAX_SUSPECTED_UNITS,
     SAME_CAUSE_S,
     list_units,
@@ -445,6 +446,29 @@
         """Guards against messages and crashes that grow with the number of hosts."""
         self.check(300, 180, 436.0)
 
+    def test_power_loss_of_many_engines_is_pushed_a_few_times_only(self) -> None:
+        """Guards against pushes without end between hosts that keep different crashes of a part.
+
+        Each host keeps the newest crashes, but their order by time differs between hosts.
+        """
+        hosts, engines = 20, MAX_CRASHES_PER_UNIT + 4
+        deployment = Deployment(hosts, engines, random.Random(hosts))
+
+        def crash(engine: int) -> None:
+            for host in deployment.rng.sample(range(hosts), 3):
+                crash_id = (f"e{engine}", "1")
+                units = make_units(FIRST, SUBJECT)
+                deployment.hosts[host].record_crash(units, crash_id, True, deployment.now)
+                deployment.request_push(host)
+
+        for engine in range(engines):
+            deployment.after(0.002 * deployment.rng.random(), lambda e=engine: crash(e))
+        deployment.run(1.0)
+        sent = deployment.messages
+        deployment.run(3.0)
+        self.assertEqual(deployment.messages, sent)
+        self.assertLessEqual(sent, 10 * FANOUT * hosts)
+
     def test_hosts_that_are_cut_off_do_not_delay_the_others(self) -> None:
         """Guards against evidence that depends on one host, such as the holder of the lease."""
         self.check(75, 45, 109.0, lost=0.2)
