Make only the events about prompt parts that a message has room for

Each message between hosts made an event of every crash in the evidence (up to 512 units with 8 crashes each), sorted them, and kept 64; crashes older than the 10 s for which they are sent were made too, for the 300 s for which they are kept. That takes 3.8 ms of processor time in the scheduler's actor, for each message, on a full core. The holder of 300 hosts answers 150 messages a second, which is more than its 0.4 of a core, so its callers would have waited for decisions during the minutes after a crash.

Units without anything to send are skipped, only the 64 events of a message are made, and old crashes are removed once a second.

--- a/catkinhook/requests/partevidence.py
+++ b/catkinhook/requests/partevidence.py
@@ -22,6 +22,7 @@
 # zone.
 SAME_CAUSE_S = 0.25
 EVIDENCE_TTL_S = 300.0
+EXPIRY_INTERVAL_S = 1.0
 
 # Bounds on the state of one process, which callers could otherwise fill with new part ids. Of a
 # prompt with more shared parts, the last ones are considered.
@@ -73,6 +74,7 @@
     def __init__(self) -> None:
         self._answered_at_by_unit: OrderedDict[str, float] = OrderedDict()
         self._crash_by_id_by_unit: OrderedDict[str, dict[CrashId, Crash]] = OrderedDict()
+        self._expired_at = float("-inf")
 
     def add_crash(self, unit: str, crash_id: CrashId, crash: Crash) -> bool:
         """Add a crash; return whether it was new. A crash that several hosts saw counts once."""
@@ -116,7 +118,10 @@
         return list(self._crash_by_id_by_unit)
 
     def expire(self, now: float) -> None:
-        """Remove old crashes."""
+        """Remove old crashes, at most every ``EXPIRY_INTERVAL_S``."""
+        if now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
         for unit, crash_by_id in list(self._crash_by_id_by_unit.items()):
             kept = {
                 key: crash for key, crash in crash_by_id.items() if now - crash.at < EVIDENCE_TTL_S
@@ -158,6 +163,9 @@
 
 def weigh(crashes: Iterable[Crash]) -> int:
     """Return the weight of crashes, of which those within ``SAME_CAUSE_S`` count once."""
+    crashes = tuple(crashes)
+    if len(crashes) == 1:
+        return STARTED_WEIGHT if crashes[0].has_started else WAITING_WEIGHT
     total = 0
     counted_at, counted_weight = float("-inf"), 0
     for crash in sorted(crashes, key=lambda crash: crash.at):
--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+import functools
+import heapq
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -195,8 +197,9 @@
             ones are included again after a host that was cut off has sent them as in force.
         """
         self._expire(now)
-        evidence = [event for event in self._evidence_events(now) if event.age <= max_age]
-        return (self._quarantine_events(now, max_age) + evidence)[:limit]
+        quarantine_events = self._quarantine_events(now, max_age)[:limit]
+        room = limit - len(quarantine_events)
+        return quarantine_events + self._evidence_events(now, room, max_age)
 
     def merge(self, events: Iterable[PartEvent], now: float) -> bool:
         """Add events of other hosts; return whether any new one has to reach all hosts soon."""
@@ -255,23 +258,32 @@
                 )
         return sorted(events, key=lambda event: event.age)
 
-    def _evidence_events(self, now: float) -> list[PartEvent]:
-        """Return the open crashes and the answers after crashes, the gravest suspicion first."""
-        weighted: list[tuple[int, PartEvent]] = []
+    def _evidence_events(self, now: float, limit: int, max_age: float) -> list[PartEvent]:
+        """Return the open crashes and the answers after crashes, the gravest suspicion first.
+
+        Evidence is kept much longer than it is sent, so units without any to send are skipped.
+        """
+        # Weight, age and a function that makes the event; messages have room for a few only.
+        found: list[tuple[int, float, Callable[[], PartEvent]]] = []
         for unit in self._evidence.crashed_units():
             crash_by_id = self._evidence.open_crashes(unit)
-            weight = weigh(crash_by_id.values())
-            weighted += [
-                (weight, _make_crash_event(unit, crash_id, crash, now))
+            recent = [
+                (crash_id, crash, max(0.0, now - crash.at))
                 for crash_id, crash in crash_by_id.items()
+                if now - crash.at <= max_age
+            ]
+            weight = weigh(crash_by_id.values()) if recent else 0
+            found += [
+                (weight, age, functools.partial(_make_crash_event, unit, crash_id, crash, age))
+                for crash_id, crash, age in recent
             ]
-            answered_at = self._evidence.answered_at(unit)
-            if answered_at > float("-inf"):
-                age = max(0.0, now - answered_at)
-                answer = PartEvent(kind=PartEventKind.ANSWERED, units=unit, age=age)
-                weighted.append((WAITING_WEIGHT, answer))
-        weighted.sort(key=lambda item: (-item[0], item[1].age))
-        return [event for _, event in weighted]
+            age = max(0.0, now - self._evidence.answered_at(unit))
+            if age <= max_age:
+                found.append(
+                    (WAITING_WEIGHT, age, functools.partial(_make_answer_event, unit, age))
+                )
+        gravest = heapq.nsmallest(limit, found, key=lambda item: (-item[0], item[1]))
+        return [make() for _, _, make in gravest]
 
     # Quarantines.
 
@@ -341,8 +353,11 @@
 }
 
 
-def _make_crash_event(unit: str, crash_id: CrashId, crash: Crash, now: float) -> PartEvent:
+def _make_crash_event(unit: str, crash_id: CrashId, crash: Crash, age: float) -> PartEvent:
     kind = PartEventKind.STARTED if crash.has_started else PartEventKind.WAITING
     endpoint, boot_id = crash_id
-    age = max(0.0, now - crash.at)
     return PartEvent(kind=kind, units=unit, age=age, endpoint=endpoint, boot_id=boot_id)
+
+
+def _make_answer_event(unit: str, age: float) -> PartEvent:
+    return PartEvent(kind=PartEventKind.ANSWERED, units=unit, age=age)
--- a/tests/test_partexchange.py
+++ b/tests/test_partexchange.py
@@ -1,10 +1,12 @@
 """Exchange of evidence about prompt parts between hosts: lifted quarantines, limits and cost."""
 
 import unittest
+from unittest import mock
 
 from catkinhook.peering.partmessages import MAX_PART_EVENTS
-from catkinhook.requests.partevidence import list_units
-from catkinhook.requests.partquarantine import MAX_HOLD_S, PartQuarantine, Quarantine
+from catkinhook.requests import partquarantine
+from catkinhook.requests.partevidence import MAX_SUSPECTED_UNITS, list_units
+from catkinhook.requests.partquarantine import MAX_HOLD_S, PartEvent, PartQuarantine, Quarantine
 
 MAX_AGE_S = 10.0
 FIRST = "f1"
@@ -56,5 +58,31 @@
         self.assertEqual(quarantine.hold_s, MAX_HOLD_S)
 
 
+class CostTest(unittest.TestCase):
+    """Work in the actor through which all requests of a host pass."""
+
+    def test_old_evidence_is_not_weighed_for_each_message(self) -> None:
+        """Guards against a holder that spends its time on messages for minutes after a crash.
+
+        The holder of 300 hosts answers 150 messages a second.
+        """
+        host = make_host()
+        for number in range(MAX_SUSPECTED_UNITS):
+            host.record_crash((f"llm/s{number}",), ("e1", "1"), False, 100.0)
+        with mock.patch.object(partquarantine, "weigh", wraps=partquarantine.weigh) as weigh:
+            self.assertEqual(host.events(100.0 + 2 * MAX_AGE_S, MAX_PART_EVENTS, MAX_AGE_S), [])
+        weigh.assert_not_called()
+
+    def test_events_that_a_message_has_no_room_for_are_not_made(self) -> None:
+        """Guards against the same cost in the seconds after a crash that cut many requests."""
+        host = make_host()
+        for number in range(MAX_SUSPECTED_UNITS):
+            host.record_crash((f"llm/s{number}",), ("e1", "1"), False, 100.0)
+        with mock.patch.object(partquarantine, "PartEvent", wraps=PartEvent) as make:
+            events = host.events(101.0, MAX_PART_EVENTS, MAX_AGE_S)
+        self.assertEqual(len(events), MAX_PART_EVENTS)
+        self.assertEqual(make.call_count, MAX_PART_EVENTS)
+
+
 if __name__ == "__main__":
     unittest.main()
