Evaluate suspects only after answers of their own service

Hosts now remember which services have suspects that wait for an answer.

test_answers_of_other_services_do_not_evaluate_the_evidence failed before: Expected 'find_suspects' to not have been called. Called 1 times.

--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -128,8 +128,8 @@
         self._evidence = CrashEvidence()
         self._quarantine_by_key: dict[str, Quarantine] = {}
         self._answered_at_by_service: dict[str, float] = {}
-        # Whether suspects wait for an answer of their service to another request.
-        self._has_unconfirmed = False
+        # Services of suspects that wait for an answer to another request.
+        self._unconfirmed_services: set[str] = set()
         self.may_probe = False
 
     def record_crash(
@@ -152,12 +152,13 @@
         """Record the first event of the answer to a request."""
         if not units:
             return
-        self._answered_at_by_service[find_service(units[0])] = now
+        service = find_service(units[0])
+        self._answered_at_by_service[service] = now
         for unit in units:
             self._evidence.add_answer(unit, now)
         for quarantine in self._find_all(units):
             self._lift(quarantine, now, "lifted: answered")
-        if self._has_unconfirmed:
+        if service in self._unconfirmed_services:
             self._quarantine_suspects(now)
 
     def find(self, units: tuple[str, ...]) -> Quarantine | None:
@@ -299,13 +300,14 @@
         return set(unanswered or quarantine.units) <= set(units)
 
     def _quarantine_suspects(self, now: float) -> None:
-        self._has_unconfirmed = False
+        self._unconfirmed_services.clear()
         for units, crash_by_id in self._evidence.find_suspects():
             since = min(crash.at for crash in crash_by_id.values())
-            answered_at = self._answered_at_by_service.get(find_service(units[0]), float("-inf"))
+            service = find_service(units[0])
+            answered_at = self._answered_at_by_service.get(service, float("-inf"))
             if answered_at <= since:
                 # A service that answers nothing at all has another fault than a part of a prompt.
-                self._has_unconfirmed = True
+                self._unconfirmed_services.add(service)
             elif self.find(units) is None:
                 known = self._quarantine_by_key.get(UNIT_SEPARATOR.join(units))
                 strikes = known.strikes + 1 if known else 1
--- a/tests/test_partexchange.py
+++ b/tests/test_partexchange.py
@@ -83,6 +83,18 @@
         self.assertEqual(len(events), MAX_PART_EVENTS)
         self.assertEqual(make.call_count, MAX_PART_EVENTS)
 
+    def test_answers_of_other_services_do_not_evaluate_the_evidence(self) -> None:
+        """Guards against a service without any answers that slows down all others of a host."""
+        host = make_host()
+        for number in range(4):
+            units = list_units("down", "m1", (FIRST,))
+            host.record_crash(units, (f"e{number}", "1"), True, 100.0 + number)
+        with mock.patch.object(host._evidence, "find_suspects", return_value=[]) as find:
+            host.record_answer(make_units(FIRST), 105.0)
+            find.assert_not_called()
+            host.record_answer(list_units("down", "m1", ("f2",)), 106.0)
+            find.assert_called_once()
+
 
 if __name__ == "__main__":
     unittest.main()
