Blame no part of a prompt for the planned end of an engine

An engine that is taken away serves until its time is up and then ends, whatever it runs. Its connections break and it refuses new ones, so each request that it cut counted as evidence against its parts. Two such ends a quarter of a second apart quarantined a part that is asked for seldom, and its callers would have been refused for a minute or more.

The crash of an engine that is draining or no longer registered is no evidence now.

test_engines_that_are_taken_away_quarantine_no_part failed before: AssertionError: True != False.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -340,14 +340,17 @@
     def record_crash(self, attempt: int, has_started: bool, now: float) -> None:
         """Record that the endpoint of an attempt crashed before the first event of its answer.
 
+        An endpoint that is leaving or was removed has ended as planned, which no prompt caused.
+
         :param has_started: whether the endpoint had started to answer.
         """
         state = self._attempt_by_number.get(attempt)
         if state is None or state.first_event_at is not None:
             return
         view = self._endpoint_by_id.get(state.endpoint)
-        boot_id = view.boot_id if view else ""
-        crash_id = (state.endpoint, boot_id)
+        if view is None or view.leaving:
+            return
+        crash_id = (state.endpoint, view.boot_id)
         self.parts.record_crash(state.request.units, crash_id, has_started, now)
 
     def finish(
--- a/tests/test_hostscheduler.py
+++ b/tests/test_hostscheduler.py
@@ -292,6 +292,34 @@
         refusal = self.submit("bad")
         self.assertEqual((refusal.code, refusal.status, refusal.ran), ("quarantined", 503, Ran.NO))
 
+    def send_with_part(self, name: str, part: str) -> object:
+        request = attrs.evolve(self.make_request(name), shared_parts=("f1", part))
+        self.submit_request(request)
+        return self.decisions[name]
+
+    def test_engines_that_are_taken_away_quarantine_no_part(self) -> None:
+        """Guards against refusals of a part whose requests were cut by planned ends of engines."""
+        for change in ("leaving", "removed", "crashed"):
+            for number, endpoint in enumerate(("e1", "e2")):
+                with self.subTest(change=change, endpoint=endpoint):
+                    self.now += 1.0
+                    sound = self.send_with_part(f"sound-{change}-{number}", "s1")
+                    self.scheduler.record_first_event(sound.attempt, self.now)
+                    self.scheduler.set_endpoints({endpoint: self.views[endpoint]}, self.now)
+                    cut = self.send_with_part(f"cut-{change}-{number}", "s2")
+                    left = {
+                        "leaving": {endpoint: attrs.evolve(self.views[endpoint], leaving=True)},
+                        "removed": {},
+                        "crashed": self.views,
+                    }
+                    self.scheduler.set_endpoints(left[change], self.now)
+                    self.now += 1.0
+                    self.scheduler.record_crash(cut.attempt, True, self.now)
+                    self.scheduler.finish(cut.attempt, Outcome.CRASHED, self.now)
+                    self.scheduler.finish(sound.attempt, Outcome.COMPLETED, self.now)
+                    self.scheduler.set_endpoints(self.views, self.now)
+            self.assertEqual(bool(self.scheduler.parts.active()), change == "crashed")
+
     def test_quarantined_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
         """Guards against a 503, which promises that the request has not run, after an attempt."""
         for endpoint in ("x", "y"):
