Schedule the queue only after evidence about parts that changes something

Every report with an event about a part, known or not, made its receiver go through its whole queue.

The queue is scheduled now if merge has found something new that is urgent. It now also returns whether a quarantine followed from evidence that is not urgent by itself, which was neither pushed nor would it have been applied to queued requests.

test_known_events_do_not_schedule_the_queue failed before: 3 != 1.

--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -392,7 +392,8 @@
         def merge(scheduler: Scheduler) -> None:
             if scheduler.parts.merge(events, now):
                 self._evidence_push.request()
-            scheduler.dispatch_waiting(now)
+                # Refuses queued requests with a part that is quarantined now.
+                scheduler.dispatch_waiting(now)
 
         if events:
             self._scheduler.tell(merge)
--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -203,11 +203,13 @@
         return quarantine_events + self._evidence_events(now, room, max_age)
 
     def merge(self, events: Iterable[PartEvent], now: float) -> bool:
-        """Add events of other hosts; return whether any new one has to reach all hosts soon."""
+        """Add events of other hosts.
+
+        :returns: whether a quarantine changed or a new event has to reach all hosts soon.
+        """
         new = [event for event in events if _MERGE_BY_KIND[event.kind](self, event, now)]
-        if new:
-            self._quarantine_suspects(now)
-        return any(event.kind in _URGENT_KINDS for event in new)
+        is_quarantined = bool(new) and self._quarantine_suspects(now)
+        return is_quarantined or any(event.kind in _URGENT_KINDS for event in new)
 
     def _merge_crash(self, event: PartEvent, now: float) -> bool:
         """Add a crash; return whether it makes the suspicion graver.
@@ -299,7 +301,9 @@
         ]
         return set(unanswered or quarantine.units) <= set(units)
 
-    def _quarantine_suspects(self, now: float) -> None:
+    def _quarantine_suspects(self, now: float) -> bool:
+        """Quarantine the suspects of services that answer; return whether there were any."""
+        is_any = False
         self._unconfirmed_services.clear()
         for units, crash_by_id in self._evidence.find_suspects():
             since = min(crash.at for crash in crash_by_id.values())
@@ -312,6 +316,8 @@
                 known = self._quarantine_by_key.get(UNIT_SEPARATOR.join(units))
                 strikes = known.strikes + 1 if known else 1
                 self._add(units, now, strikes, "added", now)
+                is_any = True
+        return is_any
 
     def _add(
         self, units: tuple[str, ...], at: float, strikes: int, outcome: str, now: float
--- a/tests/test_holderlink.py
+++ b/tests/test_holderlink.py
@@ -29,6 +29,7 @@
 from catkinhook.peering.peers import COMPACT_PROTOCOL
 from catkinhook.platform.records import decode_endpoint
 from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.partquarantine import PartEvent, PartEventKind
 from catkinhook.requests.suspects import EventKind
 from catkinhook.stateactor import StateActor
 from catkinhook.thrift_hosts import ttypes
@@ -185,6 +186,30 @@
         self.assertGreater(len(set(pool.queried)), 30)
 
 
+class PartExchangeTest(unittest.TestCase):
+    """Events about prompt parts from other hosts."""
+
+    def test_known_events_do_not_schedule_the_queue(self) -> None:
+        """Guards against a full queue that the holder goes through for each report of each host."""
+        scheduler = Scheduler("z", "host", Bounds(), random.Random(1))
+        actor = mock.Mock(tell=lambda change: change(scheduler))
+        link = HolderLink(
+            "host",
+            "10.0.0.1:1",
+            "a",
+            actor,
+            mock.Mock(),
+            mock.Mock(),
+            DecisionLog("host"),
+            monotonic,
+        )
+        event = PartEvent(kind=PartEventKind.QUARANTINED, units="llm/d", age=1.0, strikes=1)
+        with mock.patch.object(scheduler, "dispatch_waiting") as dispatch:
+            for _ in range(3):
+                link._merge_part_events([event])
+        self.assertEqual(dispatch.call_count, 1)
+
+
 class SuspectExchangeTest(unittest.TestCase):
     """Suspect events of whole requests between many hosts."""
 
