Push quarantines that are lifted or added to other hosts at once

A quarantine that an answer lifts reached the other hosts with the regular exchanges only: 0.4 to 2 s to the holder and as long again to the others, in which their callers are still refused. The same held for a quarantine that followed from crashes without a head of an answer. Only crashes under a started request were pushed.

test_lift_by_an_answer_is_pushed_to_other_hosts failed before: Expected 'push_evidence' to have been called.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -299,6 +299,7 @@
         return ""
 
     def _record_quarantine(self, quarantine: Quarantine, change: str, now: float) -> None:
+        """Log a change of a quarantine and tell other hosts."""
         self.log.record(
             "quarantine",
             outcome=change,
@@ -307,6 +308,7 @@
             strikes=quarantine.strikes,
             hold_s=quarantine.hold_s,
         )
+        self.holder_link.push_evidence()
 
     def _render_metrics(self) -> bytes:
         self.metrics.in_progress.set(self.state.in_progress)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,15 +4,17 @@
 import json
 import socket
 import threading
+import time
 import unittest
 from http.server import BaseHTTPRequestHandler
+from unittest import mock
 
 import attrs
 
 from catkinhook.host import Host
 from catkinhook.hostsettings import Bounds
 from catkinhook.platform.assembly import make_platform
-from catkinhook.requests.partevidence import SAME_CAUSE_S
+from catkinhook.requests.partevidence import SAME_CAUSE_S, list_units
 from tests.hostcase import WAIT_S, HostCase, find_port, wait_until
 from tests.platform_fakes import FakeEndpoint
 
@@ -179,6 +181,15 @@
         for host in (other, later):
             wait_until(lambda host=host: host._scheduler.ask(lambda s: bool(s.parts.active())))
 
+    def test_lift_by_an_answer_is_pushed_to_other_hosts(self) -> None:
+        """Guards against hosts that refuse a sound part until an exchange, 2 s with 80 hosts."""
+        self.crash_engines()
+        units = list_units("llm", "m1", ("f1", DEADLY))
+        with mock.patch.object(self.host.holder_link, "push_evidence") as push:
+            self.host._scheduler.ask(lambda s: s.parts.record_answer(units, time.monotonic()))
+        self.assertEqual(self.list_quarantines(), [])
+        push.assert_called()
+
     def start_host(self, node: str) -> Host:
         settings = attrs.evolve(
             self.settings,
