End the thread that pushes evidence without an error when a host stops

A host that stopped while it had evidence to push would have written a traceback to its log: close shuts the executor down between the check of the thread and its submit, which then raises RuntimeError. The same error for a lack of threads would have ended all later pushes of the host.

The error is suppressed. The thread ends at its next check after close, and pushes again if it was only short of threads.

test_close_during_a_push_ends_the_thread_without_an_error failed before: Expected 'excepthook' to not have been called. Called 1 times.

--- a/catkinhook/peering/evidencepush.py
+++ b/catkinhook/peering/evidencepush.py
@@ -5,6 +5,7 @@
 new to it to a few random hosts, which do the same, so that it reaches all within a few round trips.
 """
 
+import contextlib
 import random
 import threading
 from collections.abc import Callable, Iterable
@@ -64,6 +65,8 @@
             peers = list(self._list_peers())
             self._calls = [call for call in self._calls if not call.done()]
             count = min(FANOUT, MAX_CALLS - len(self._calls), len(peers))
-            for address in self._rng.sample(peers, count):
-                self._calls.append(self._executor.submit(self._send, address))
+            # The executor may be shut down meanwhile, or no thread can be started at present.
+            with contextlib.suppress(RuntimeError):
+                for address in self._rng.sample(peers, count):
+                    self._calls.append(self._executor.submit(self._send, address))
             self._stop.wait(MIN_INTERVAL_S)
--- a/tests/test_partexchange.py
+++ b/tests/test_partexchange.py
@@ -1,8 +1,11 @@
 """Exchange of evidence about prompt parts between hosts: lifted quarantines, limits and cost."""
 
+import random
+import threading
 import unittest
 from unittest import mock
 
+from catkinhook.peering.evidencepush import EvidencePush
 from catkinhook.peering.partmessages import MAX_PART_EVENTS
 from catkinhook.requests import partquarantine
 from catkinhook.requests.partevidence import MAX_SUSPECTED_UNITS, list_units
@@ -116,5 +119,24 @@
             find.assert_called_once()
 
 
+class EvidencePushTest(unittest.TestCase):
+    """Threads that send evidence to other hosts."""
+
+    def test_close_during_a_push_ends_the_thread_without_an_error(self) -> None:
+        """Guards against a traceback when a host stops while it has evidence to push."""
+
+        def list_peers() -> list[str]:
+            push.close()
+            return ["10.0.0.1:1"]
+
+        push = EvidencePush(list_peers, mock.Mock(), random.Random(1))
+        with mock.patch.object(threading, "excepthook") as excepthook:
+            push.start()
+            push.request()
+            push._thread.join(5.0)
+        self.assertFalse(push._thread.is_alive())
+        excepthook.assert_not_called()
+
+
 if __name__ == "__main__":
     unittest.main()
