--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -299,6 +299,7 @@
         return ""
 
     def _record_quarantine(self, quarantine: Quarantine, change: str, now: float) -> None:
+        """Log a change of a quarantine and tell other hosts."""
         if change.startswith("added"):
             # Sent in the actor's next turn, when the quarantine is in force.
             self._scheduler.tell(
@@ -312,6 +313,7 @@
             strikes=quarantine.strikes,
             hold_s=quarantine.hold_s,
         )
+        self.holder_link.push_evidence()
 
     def _render_metrics(self) -> bytes:
         self.metrics.in_progress.set(self.state.in_progress)
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
 from typing import Protocol
 
 import attrs
@@ -44,6 +45,8 @@
 # Largest answer that is buffered before it is sent, which bounds the memory of a request.
 MAX_ANSWER_BYTES = 8 * MIB
 EVENT_STREAM = "text/event-stream"
+# Fault of an answer whose events are incomplete or out of order.
+SEQUENCE_FAULT = "sequence"
 
 
 class UpstreamAnswer(Protocol):
@@ -252,12 +255,17 @@
         if has_started:
             self._on_crash()
 
-    def record_first_event(self, assignment: Assignment, load: tuple[int, int] | None) -> None:
-        """Record the arrival of the first bytes of an answer."""
+    def record_first_event(
+        self, assignment: Assignment, load: tuple[int, int] | None, is_success: bool = True
+    ) -> None:
+        """Record the arrival of the first bytes of an answer.
+
+        :param is_success: whether the answer is not an error.
+        """
         now = time.monotonic()
 
         def record(scheduler: Scheduler) -> None:
-            scheduler.record_first_event(assignment.attempt, now)
+            scheduler.record_first_event(assignment.attempt, now, is_success)
             if load is not None:
                 scheduler.record_load(assignment.endpoint.endpoint, load[0], load[1], now)
 
@@ -555,7 +563,8 @@
                 answer.status,
                 Outcome.FAILED,
             )
-        self._forwarder.record_first_event(assignment, answer.load)
+        is_success = answer.status < HTTPStatus.BAD_REQUEST
+        self._forwarder.record_first_event(assignment, answer.load, is_success)
         answer.finish()
         self._answer = None
         self._forwarder.unwatch_caller(self)
@@ -607,7 +616,7 @@
                 raise EventError("the stream ended without an event")
         except EventError as error:
             raise AttemptError(
-                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault="sequence"
+                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault=SEQUENCE_FAULT
             ) from error
 
     def _accept(self, blocks: list[bytes]) -> tuple[bytes, int, EventError | None]:
@@ -704,9 +713,11 @@
         """Return whether an endpoint crashed under a prompt that it had not begun to answer.
 
         An endpoint that only breaks off its answer has not crashed, and still accepts connections.
+        A stream without length and chunks has no broken connection; it only ends too early.
         """
+        is_broken_off = error.outcome is Outcome.CRASHED or error.fault == SEQUENCE_FAULT
         return (
-            error.outcome is Outcome.CRASHED
+            is_broken_off
             and error.ran is not Ran.NO
             and self.progress is not AttemptProgress.EVENTS
             and bool(self.request.shared_parts)
--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+import functools
+import heapq
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -21,6 +23,8 @@
 # Time after which quarantined parts are probed. It doubles after each probe that crashes an engine.
 FIRST_HOLD_S = 60.0
 MAX_HOLD_S = 3600.0
+# Enough to reach the maximum. Strikes come in messages, and 2.0 to a power above 1023 overflows.
+MAX_HOLD_DOUBLINGS = 16
 # A probe that ended without a result is repeated after this time.
 PROBE_INTERVAL_S = 30.0
 # Time for which the strikes of a lifted quarantine are remembered.
@@ -71,6 +75,7 @@
     :ivar suspected_since: time of the first crash that counted.
     :ivar strikes: number of times that the units were quarantined, which orders the states that
         hosts exchange. Their clocks differ, so times can't.
+    :ivar contradicted_at: time at which a host last sent this lifted quarantine as in force.
     :ivar crash_by_id: the crashes that counted.
     """
 
@@ -79,6 +84,7 @@
     suspected_since: float
     strikes: int = 1
     lifted_at: float | None = None
+    contradicted_at: float = float("-inf")
     probed_at: float = float("-inf")
     crash_by_id: dict[CrashId, Crash] = attrs.Factory(dict)
 
@@ -95,7 +101,8 @@
     @property
     def hold_s(self) -> float:
         """Seconds after which the units may be probed."""
-        return min(MAX_HOLD_S, FIRST_HOLD_S * 2.0 ** (self.strikes - 1))
+        doublings = min(self.strikes - 1, MAX_HOLD_DOUBLINGS)
+        return min(MAX_HOLD_S, FIRST_HOLD_S * 2.0**doublings)
 
     def probe_due_at(self) -> float:
         """Return the time from which a probe may be sent."""
@@ -121,8 +128,8 @@
         self._evidence = CrashEvidence()
         self._quarantine_by_key: dict[str, Quarantine] = {}
         self._answered_at_by_service: dict[str, float] = {}
-        # Whether suspects wait for an answer of their service to another request.
-        self._has_unconfirmed = False
+        # Services of suspects that wait for an answer to another request.
+        self._unconfirmed_services: set[str] = set()
         self.may_probe = False
 
     def record_crash(
@@ -145,12 +152,13 @@
         """Record the first event of the answer to a request."""
         if not units:
             return
-        self._answered_at_by_service[find_service(units[0])] = now
+        service = find_service(units[0])
+        self._answered_at_by_service[service] = now
         for unit in units:
             self._evidence.add_answer(unit, now)
         for quarantine in self._find_all(units):
             self._lift(quarantine, now, "lifted: answered")
-        if self._has_unconfirmed:
+        if service in self._unconfirmed_services:
             self._quarantine_suspects(now)
 
     def find(self, units: tuple[str, ...]) -> Quarantine | None:
@@ -186,22 +194,33 @@
         """Return events for another host, the most important first.
 
         :param max_age: seconds after which evidence and lifted quarantines are omitted. Those in
-            force are always included, so that a host that has just started learns of them.
+            force are always included, so that a host that has just started learns of them. Lifted
+            ones are included again after a host that was cut off has sent them as in force.
         """
         self._expire(now)
-        evidence = [event for event in self._evidence_events(now) if event.age <= max_age]
-        return (self._quarantine_events(now, max_age) + evidence)[:limit]
+        quarantine_events = self._quarantine_events(now, max_age)[:limit]
+        room = limit - len(quarantine_events)
+        return quarantine_events + self._evidence_events(now, room, max_age)
 
     def merge(self, events: Iterable[PartEvent], now: float) -> bool:
-        """Add events of other hosts; return whether any new one has to reach all hosts soon."""
+        """Add events of other hosts.
+
+        :returns: whether a quarantine changed or a new event has to reach all hosts soon.
+        """
         new = [event for event in events if _MERGE_BY_KIND[event.kind](self, event, now)]
-        if new:
-            self._quarantine_suspects(now)
-        return any(event.kind in _URGENT_KINDS for event in new)
+        is_quarantined = bool(new) and self._quarantine_suspects(now)
+        return is_quarantined or any(event.kind in _URGENT_KINDS for event in new)
 
     def _merge_crash(self, event: PartEvent, now: float) -> bool:
+        """Add a crash; return whether it makes the suspicion graver.
+
+        Crashes at the same time don't: of more than a unit can have, each host keeps others, and
+        would take those of its peers for new ones without end.
+        """
+        before = weigh(self._evidence.open_crashes(event.units).values())
         crash = Crash(now - event.age, event.kind is PartEventKind.STARTED)
-        return self._evidence.add_crash(event.units, (event.endpoint, event.boot_id), crash)
+        self._evidence.add_crash(event.units, (event.endpoint, event.boot_id), crash)
+        return weigh(self._evidence.open_crashes(event.units).values()) > before
 
     def _merge_answer(self, event: PartEvent, now: float) -> bool:
         if not self._evidence.open_crashes(event.units):
@@ -213,6 +232,8 @@
     def _merge_quarantine(self, event: PartEvent, now: float) -> bool:
         known = self._quarantine_by_key.get(event.units)
         if known is not None and known.strikes >= event.strikes:
+            if not known.is_active:
+                known.contradicted_at = now
             return False
         units = tuple(event.units.split(UNIT_SEPARATOR))
         self._add(units, now - event.age, event.strikes, "added: another host", now)
@@ -232,56 +253,75 @@
             kind, at = PartEventKind.QUARANTINED, quarantine.at
             if quarantine.lifted_at is not None:
                 kind, at = PartEventKind.LIFTED, quarantine.lifted_at
-            if quarantine.is_active or now - at <= max_age:
+            told_at = max(at, quarantine.contradicted_at)
+            if quarantine.is_active or now - told_at <= max_age:
                 strikes = quarantine.strikes
                 events.append(
                     PartEvent(kind=kind, units=quarantine.key, age=now - at, strikes=strikes)
                 )
         return sorted(events, key=lambda event: event.age)
 
-    def _evidence_events(self, now: float) -> list[PartEvent]:
-        """Return the open crashes and the answers after crashes, the gravest suspicion first."""
-        weighted: list[tuple[int, PartEvent]] = []
+    def _evidence_events(self, now: float, limit: int, max_age: float) -> list[PartEvent]:
+        """Return the open crashes and the answers after crashes, the gravest suspicion first.
+
+        Evidence is kept much longer than it is sent, so units without any to send are skipped.
+        """
+        # Weight, age and a function that makes the event; messages have room for a few only.
+        found: list[tuple[int, float, Callable[[], PartEvent]]] = []
         for unit in self._evidence.crashed_units():
             crash_by_id = self._evidence.open_crashes(unit)
-            weight = weigh(crash_by_id.values())
-            weighted += [
-                (weight, _make_crash_event(unit, crash_id, crash, now))
+            recent = [
+                (crash_id, crash, max(0.0, now - crash.at))
                 for crash_id, crash in crash_by_id.items()
+                if now - crash.at <= max_age
+            ]
+            weight = weigh(crash_by_id.values()) if recent else 0
+            found += [
+                (weight, age, functools.partial(_make_crash_event, unit, crash_id, crash, age))
+                for crash_id, crash, age in recent
             ]
-            answered_at = self._evidence.answered_at(unit)
-            if answered_at > float("-inf"):
-                age = max(0.0, now - answered_at)
-                answer = PartEvent(kind=PartEventKind.ANSWERED, units=unit, age=age)
-                weighted.append((WAITING_WEIGHT, answer))
-        weighted.sort(key=lambda item: (-item[0], item[1].age))
-        return [event for _, event in weighted]
+            age = max(0.0, now - self._evidence.answered_at(unit))
+            if age <= max_age:
+                found.append(
+                    (WAITING_WEIGHT, age, functools.partial(_make_answer_event, unit, age))
+                )
+        gravest = heapq.nsmallest(limit, found, key=lambda item: (-item[0], item[1]))
+        return [make() for _, _, make in gravest]
 
     # Quarantines.
 
     def _find_all(self, units: tuple[str, ...]) -> list[Quarantine]:
-        return [q for q in self.active() if self._covers(q, units)]
+        # Few quarantines have a unit in common with a request, and all queued requests are checked.
+        given = frozenset(units)
+        return [
+            q for q in self.active() if not given.isdisjoint(q.units) and self._covers(q, given)
+        ]
 
-    def _covers(self, quarantine: Quarantine, units: tuple[str, ...]) -> bool:
+    def _covers(self, quarantine: Quarantine, units: frozenset[str]) -> bool:
         unanswered = [
             unit
             for unit in quarantine.units
             if self._evidence.answered_at(unit) < quarantine.suspected_since
         ]
-        return set(unanswered or quarantine.units) <= set(units)
+        return units.issuperset(unanswered or quarantine.units)
 
-    def _quarantine_suspects(self, now: float) -> None:
-        self._has_unconfirmed = False
+    def _quarantine_suspects(self, now: float) -> bool:
+        """Quarantine the suspects of services that answer; return whether there were any."""
+        is_any = False
+        self._unconfirmed_services.clear()
         for units, crash_by_id in self._evidence.find_suspects():
             since = min(crash.at for crash in crash_by_id.values())
-            answered_at = self._answered_at_by_service.get(find_service(units[0]), float("-inf"))
+            service = find_service(units[0])
+            answered_at = self._answered_at_by_service.get(service, float("-inf"))
             if answered_at <= since:
                 # A service that answers nothing at all has another fault than a part of a prompt.
-                self._has_unconfirmed = True
+                self._unconfirmed_services.add(service)
             elif self.find(units) is None:
                 known = self._quarantine_by_key.get(UNIT_SEPARATOR.join(units))
                 strikes = known.strikes + 1 if known else 1
                 self._add(units, now, strikes, "added", now)
+                is_any = True
+        return is_any
 
     def _add(
         self, units: tuple[str, ...], at: float, strikes: int, outcome: str, now: float
@@ -325,8 +365,11 @@
 }
 
 
-def _make_crash_event(unit: str, crash_id: CrashId, crash: Crash, now: float) -> PartEvent:
+def _make_crash_event(unit: str, crash_id: CrashId, crash: Crash, age: float) -> PartEvent:
     kind = PartEventKind.STARTED if crash.has_started else PartEventKind.WAITING
     endpoint, boot_id = crash_id
-    age = max(0.0, now - crash.at)
     return PartEvent(kind=kind, units=unit, age=age, endpoint=endpoint, boot_id=boot_id)
+
+
+def _make_answer_event(unit: str, age: float) -> PartEvent:
+    return PartEvent(kind=PartEventKind.ANSWERED, units=unit, age=age)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,13 +8,14 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 from http.server import BaseHTTPRequestHandler
+from unittest import mock
 
 import attrs
 
 from catkinhook.host import Host
 from catkinhook.hostsettings import Bounds
 from catkinhook.platform.assembly import make_platform
-from catkinhook.requests.partevidence import SAME_CAUSE_S
+from catkinhook.requests.partevidence import SAME_CAUSE_S, list_units
 from tests.hostcase import WAIT_S, HostCase, find_port, wait_until
 from tests.platform_fakes import FakeEndpoint
 
@@ -26,20 +27,29 @@
     """Engine that ends when it starts to answer a prompt with the deadly part.
 
     :ivar survives: whether it only breaks off such answers and accepts connections again.
+    :ivar is_framed: whether such answers are sent in chunks, or else end with their connection.
+    :ivar failure_status: status of answers to such prompts in place of a crash, 0 for none.
     """
 
     survives = False
+    is_framed = True
+    failure_status = 0
 
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         if DEADLY not in request.headers.get("Prompt-Prefix", ""):
             super()._handle_request(request)
             return
         time.sleep(self.head_pause_s)
-        request.send_response(200)
+        request.send_response(self.failure_status or 200)
         request.send_header("Attempt-Id", request.headers["Attempt-Id"])
         request.send_header("Response-Seal", "seal")
+        if self.failure_status:
+            request.send_header("Content-Length", "0")
+            request.end_headers()
+            return
         request.send_header("Content-Type", "text/event-stream")
-        request.send_header("Transfer-Encoding", "chunked")
+        if self.is_framed:
+            request.send_header("Transfer-Encoding", "chunked")
         request.end_headers()
         request.close_connection = True
         if not self.survives:
@@ -108,6 +118,27 @@
         for number in range(5):
             self.assertEqual(self.send_prompt("f1", f"s{number}")[0].status, 200)
 
+    def test_part_whose_answers_have_neither_length_nor_chunks_is_refused(self) -> None:
+        """Guards against crashes that look like the ordinary end of a stream."""
+        for engine in self.engines:
+            engine.is_framed = False
+        self.crash_engines()
+
+    def test_failure_of_an_engine_does_not_clear_a_part(self) -> None:
+        """Guards against a deadline that ends while a prompt is read, and clears its deadly part.
+
+        An engine then answers 504 before it begins to write.
+        """
+        for status in (0, 504, 0):
+            for engine in self.engines:
+                engine.failure_status = status
+            answer, _ = self.send_prompt("f1", "s1", DEADLY)
+            self.assertEqual(answer.status, status or 502)
+            self.assertEqual(self.send_prompt("f1", "s2")[0].status, 200)
+            threading.Event().wait(SAME_CAUSE_S)
+        (listed,) = self.list_quarantines()
+        self.assertIn(DEADLY, listed["parts"])
+
     def test_answers_that_are_broken_off_quarantine_nothing(self) -> None:
         """Guards against quarantine of parts whose engines break off answers without crashing."""
         for engine in self.engines:
@@ -170,6 +201,15 @@
         for host in (other, later):
             wait_until(lambda host=host: host._scheduler.ask(lambda s: bool(s.parts.active())))
 
+    def test_lift_by_an_answer_is_pushed_to_other_hosts(self) -> None:
+        """Guards against hosts that refuse a sound part until an exchange, 2 s with 80 hosts."""
+        self.crash_engines()
+        units = list_units("llm", "m1", ("f1", DEADLY))
+        with mock.patch.object(self.host.holder_link, "push_evidence") as push:
+            self.host._scheduler.ask(lambda s: s.parts.record_answer(units, time.monotonic()))
+        self.assertEqual(self.list_quarantines(), [])
+        push.assert_called()
+
     def start_host(self, node: str) -> Host:
         settings = attrs.evolve(
             self.settings,
