Suspect parts that were never answered before those that were

Callers of a route would have been refused for a minute while two of its parts crashed engines at once: their first part is in the crashes of both, more than either has, so it explained them away. A host that had answered no request with it for half a second concluded so, and all hosts took over its conclusion.

Units that were never answered are now suspected first and explain their crashes. One that was answered before needs three crashes that are left over, and a second without an answer. A host that has itself seen answers since the crashes lifts a quarantine that another host adds.

Failed before: test_part_that_was_answered_before_needs_more_crashes and test_host_that_has_answered_a_part_since_contradicts_its_quarantine (a quarantine of 'llm/f1@m2' is not None).

--- a/catkinhook/requests/partevidence.py
+++ b/catkinhook/requests/partevidence.py
@@ -18,9 +18,15 @@
 WAITING_WEIGHT = 1
 # Two crashes under a started request, or four under waiting ones.
 SUSPICION_THRESHOLD = 4
+# For a unit that was answered before. With three crashes under two deadly parts, one of these has
+# two and explains them, so that the first part, which is in all three, is not suspected.
+ANSWERED_THRESHOLD = 6
 # Crashes within this time count once. They may have one cause from outside, such as the power of a
 # zone.
 SAME_CAUSE_S = 0.25
+# Time without an answer after which a unit that was answered before is suspected. A part that all
+# requests share is in the crashes of each deadly part, until hosts hear of answers to it.
+ANSWERED_BEFORE_WAIT_S = 1.0
 EVIDENCE_TTL_S = 300.0
 EXPIRY_INTERVAL_S = 1.0
 
@@ -39,6 +45,8 @@
 
 # Endpoint and boot id of an engine that crashed.
 CrashId = tuple[str, str]
+# Units that can't be told apart, and their crashes.
+SuspectGroup = tuple[tuple[str, ...], dict[CrashId, "Crash"]]
 
 
 @attrs.frozen
@@ -131,15 +139,40 @@
             else:
                 del self._crash_by_id_by_unit[unit]
 
-    def find_suspects(self) -> list[tuple[tuple[str, ...], dict[CrashId, Crash]]]:
+    def is_cleared(self, unit: str) -> bool:
+        """Return whether this host has seen an answer that leaves a unit too few of its crashes."""
+        known = self._crash_by_id_by_unit.get(unit, {})
+        open_crashes = self.open_crashes(unit)
+        return len(open_crashes) < len(known) and weigh(open_crashes.values()) < SUSPICION_THRESHOLD
+
+    def find_suspects(self, now: float) -> list[SuspectGroup]:
         """Return groups of units with enough crashes that no other unit explains, and the crashes.
 
         Units of one group have the same crashes, so it isn't known which of them is the cause.
+        Units that were never answered go first, and explain the crashes of those that were.
         """
-        return _group_unexplained(self._find_crashed_often())
+        never_answered, answered = [], []
+        for unit in self._crash_by_id_by_unit:
+            (answered if self._was_answered(unit) else never_answered).append(unit)
+        never = self._find_crashed_often(never_answered, SUSPICION_THRESHOLD, frozenset())
+        groups = _group_unexplained(never)
+        explained = frozenset(crash_id for _, crash_by_id in groups for crash_id in crash_by_id)
+        crashes_by_unit = self._find_crashed_often(answered, ANSWERED_THRESHOLD, explained)
+        overdue = {
+            unit: crash_by_id
+            for unit, crash_by_id in crashes_by_unit.items()
+            if now - min(crash.at for crash in crash_by_id.values()) >= ANSWERED_BEFORE_WAIT_S
+        }
+        return groups + _group_unexplained(overdue)
 
-    def _find_crashed_often(self) -> dict[str, dict[CrashId, Crash]]:
-        """Return the units with enough crashes.
+    def _was_answered(self, unit: str) -> bool:
+        answered = self._answered_at_by_unit
+        return unit in answered or _without_model(unit) in answered
+
+    def _find_crashed_often(
+        self, units: Iterable[str], threshold: int, explained: frozenset[CrashId]
+    ) -> dict[str, dict[CrashId, Crash]]:
+        """Return those of the units with enough crashes, without the explained ones.
 
         A crash under a request that had started is not held against those that waited beside it.
         """
@@ -150,13 +183,13 @@
             if crash.has_started
         }
         crashed_often = {}
-        for unit in self._crash_by_id_by_unit:
+        for unit in units:
             crash_by_id = {
                 crash_id: crash
                 for crash_id, crash in self.open_crashes(unit).items()
-                if crash.has_started or crash_id not in started_ids
+                if crash_id not in explained and (crash.has_started or crash_id not in started_ids)
             }
-            if weigh(crash_by_id.values()) >= SUSPICION_THRESHOLD:
+            if weigh(crash_by_id.values()) >= threshold:
                 crashed_often[unit] = crash_by_id
         return crashed_often
 
@@ -179,9 +212,7 @@
     return total
 
 
-def _group_unexplained(
-    crashes_by_unit: dict[str, dict[CrashId, Crash]],
-) -> list[tuple[tuple[str, ...], dict[CrashId, Crash]]]:
+def _group_unexplained(crashes_by_unit: dict[str, dict[CrashId, Crash]]) -> list[SuspectGroup]:
     """Group units with the same crashes, without those that have part of another one's crashes.
 
     A unit with a model is left out if its part without the model has the same crashes: the part has
--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -236,7 +236,9 @@
                 known.contradicted_at = now
             return False
         units = tuple(event.units.split(UNIT_SEPARATOR))
-        self._add(units, now - event.age, event.strikes, "added: another host", now)
+        added = self._add(units, now - event.age, event.strikes, "added: another host", now)
+        if all(map(self._evidence.is_cleared, units)):
+            self._lift(added, now, "lifted: answered here since the crashes")
         return True
 
     def _merge_lift(self, event: PartEvent, now: float) -> bool:
@@ -309,7 +311,7 @@
         """Quarantine the suspects of services that answer; return whether there were any."""
         is_any = False
         self._unconfirmed_services.clear()
-        for units, crash_by_id in self._evidence.find_suspects():
+        for units, crash_by_id in self._evidence.find_suspects(now):
             since = min(crash.at for crash in crash_by_id.values())
             service = find_service(units[0])
             answered_at = self._answered_at_by_service.get(service, float("-inf"))
@@ -325,7 +327,7 @@
 
     def _add(
         self, units: tuple[str, ...], at: float, strikes: int, outcome: str, now: float
-    ) -> None:
+    ) -> Quarantine:
         crash_by_id: dict[CrashId, Crash] = {}
         for unit in units:
             crash_by_id |= self._evidence.open_crashes(unit)
@@ -341,6 +343,7 @@
             oldest = min(self._quarantine_by_key.values(), key=lambda q: (q.is_active, q.at))
             del self._quarantine_by_key[oldest.key]
         self._on_change(quarantine, outcome, now)
+        return quarantine
 
     def _lift(self, quarantine: Quarantine, at: float, outcome: str) -> None:
         quarantine.lifted_at = at
--- a/tests/test_partexchange.py
+++ b/tests/test_partexchange.py
@@ -68,6 +68,33 @@
         self.assertEqual(quarantine.hold_s, MAX_HOLD_S)
 
 
+class TwoDeadlyPartsTest(unittest.TestCase):
+    """Two deadly parts behind one sound first part, which is in the crashes of both."""
+
+    def crash_under_both(self, host: PartQuarantine) -> None:
+        host.record_crash(make_units(FIRST, "d1", model="m2"), ("e1", "1"), True, 101.0)
+        host.record_answer(make_units(FIRST, model="m1"), 101.5)
+        host.record_crash(make_units(FIRST, "d2", model="m2"), ("e2", "1"), True, 102.0)
+
+    def test_part_that_was_answered_before_needs_more_crashes(self) -> None:
+        """Guards against refusals of all requests of a route under one model for a minute."""
+        host = make_host()
+        host.record_answer(make_units(FIRST, "s1", model="m2"), 100.0)
+        self.crash_under_both(host)
+        self.assertIsNone(host.find(make_units(FIRST, "s2", model="m2")))
+
+    def test_host_that_has_answered_a_part_since_contradicts_its_quarantine(self) -> None:
+        """Guards against a quarantine by the host that happened to answer least."""
+        host, other = make_host(), make_host()
+        self.crash_under_both(host)
+        other.record_crash(make_units(FIRST, "d1", model="m2"), ("e1", "1"), True, 101.0)
+        other.record_answer(make_units(FIRST, "s1", model="m2"), 101.6)
+        for _ in range(2):
+            exchange(host, other, 102.1)
+        for checked in (host, other):
+            self.assertIsNone(checked.find(make_units(FIRST, "s2", model="m2")))
+
+
 class CostTest(unittest.TestCase):
     """Work in the actor through which all requests of a host pass."""
 
--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from catkinhook.control.ordercoordinator import exchange_interval
 from catkinhook.peering.evidencepush import FANOUT, MIN_INTERVAL_S
 from catkinhook.peering.partmessages import (
     MAX_PART_EVENTS,
@@ -405,6 +406,14 @@
             if other not in self.unreachable and host not in self.unreachable:
                 self.after(self.LATENCY_S, lambda other=other: self.receive(other, events))
 
+    def exchange_regularly(self, host: int, holder: int) -> None:
+        """Exchange evidence with the holder, as the reports of hosts do."""
+        events = self.hosts[host].events(self.now, MAX_PART_EVENTS, 10.0)
+        self.receive(holder, events)
+        self.receive(host, self.hosts[holder].events(self.now, MAX_PART_EVENTS, 10.0))
+        interval = exchange_interval(self.host_count)
+        self.after(interval, lambda: self.exchange_regularly(host, holder))
+
     def receive(self, host: int, events: list[PartEvent]) -> None:
         if self.hosts[host].merge(events, self.now):
             self.request_push(host)
@@ -413,21 +422,33 @@
 class ScaleTest(unittest.TestCase):
     """Requests with a deadly part at any host, five in a hundred, for twenty seconds."""
 
-    def play(self, hosts: int, engines: int, rate: float, lost: float = 0.0) -> Deployment:
+    def play(
+        self, hosts: int, engines: int, rate: float, lost: float, second_share: float
+    ) -> Deployment:
         rng = random.Random(hosts)
         deployment = Deployment(hosts, engines, rng)
         deployment.unreachable = frozenset(rng.sample(range(hosts), int(lost * hosts)))
         in_touch = [host for host in range(hosts) if host not in deployment.unreachable]
         for number in range(int(rate * 20)):
-            is_deadly = rng.random() < 0.05
-            parts = (FIRST, f"s{rng.randrange(20)}", *([DEADLY] if is_deadly else []))
+            drawn = rng.random()
+            deadly = [DEADLY] if drawn < 0.05 else ["d8"] if drawn < 0.05 + second_share else []
+            parts = (FIRST, f"s{rng.randrange(20)}", *deadly)
             at, host = number / rate, rng.choice(in_touch)
-            deployment.after(at, lambda h=host, p=parts, d=is_deadly: deployment.send(h, p, d))
+            deployment.after(at, lambda h=host, p=parts, d=bool(deadly): deployment.send(h, p, d))
+        for host in in_touch[1:]:
+            deployment.exchange_regularly(host, in_touch[0])
         deployment.run(30.0)
         return deployment
 
-    def check(self, hosts: int, engines: int, rate: float, lost: float = 0.0) -> None:
-        deployment = self.play(hosts, engines, rate, lost)
+    def check(
+        self,
+        hosts: int,
+        engines: int,
+        rate: float,
+        lost: float = 0.0,
+        second_share: float = 0.0,
+    ) -> None:
+        deployment = self.play(hosts, engines, rate, lost, second_share)
         self.assertGreater(len(deployment.crashed_at), 1)
         self.assertLessEqual(deployment.late_sends, MAX_LATE_SENDS)
         # A request in a hundred may be refused while parts can't be told apart.
@@ -473,6 +494,11 @@
         """Guards against evidence that depends on one host, such as the holder of the lease."""
         self.check(75, 45, 109.0, lost=0.2)
 
+    def test_first_part_of_two_deadly_ones_is_not_quarantined(self) -> None:
+        """Guards against refusals of a whole route, whose first part is in the crashes of both."""
+        for hosts, engines, rate in ((8, 5, 16.0), (75, 45, 109.0)):
+            self.check(hosts, engines, rate, second_share=0.03)
+
 
 if __name__ == "__main__":
     unittest.main()
