Bound the probes of a quarantined part, and end quarantines that are not probed

A part that stays deadly would have crashed an engine with each probe: at 60, 180, 420 and 900 s, and then every hour, while the users' rule allows three requests after the fifth crash. A probe without a result was repeated each 30 s. A sound part that is asked for seldom could stay refused for as long as the hosts run: only the holder probes, and it gets one request in as many as there are hosts. A holder that was frozen could send one more probe before it learned that it had lost the lease.

The wait grows fourfold (60, 240, 960 s, an hour), there are three probes at most, and a quarantine ends after ten times the wait. The lease is checked when a probe is due. A lift without an answer no longer makes a part one that was answered before.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -171,7 +171,15 @@
         self.state = HostState(MAX_REQUESTS, bounds.grace_s, self._explain_unready, self.log)
         rng = random.Random()
         scheduler = StateActor(
-            Scheduler(settings.zone, origin, bounds, rng, time.monotonic(), self._record_quarantine)
+            Scheduler(
+                settings.zone,
+                origin,
+                bounds,
+                rng,
+                time.monotonic(),
+                self._record_quarantine,
+                lambda: self.lease.is_held(),
+            )
         )
         self._scheduler = scheduler
         connections = ConnectionPool()
--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -412,12 +412,10 @@
             holdings = self._holding_by_id.values() if is_recent or is_newer else ()
             endpoints = self._endpoint_merger.merge(self._endpoint_by_id, holdings)
         host_count = max(MIN_HOSTS, len(self._host_addresses))
-        is_holder = self._lease.is_held()
         now = time.monotonic()
 
         def update(scheduler: Scheduler) -> None:
             scheduler.host_count = host_count
-            scheduler.parts.may_probe = is_holder
             if view is not None:
                 for endpoint in endpoints:
                     scheduler.record_load(endpoint, view.running_by_id.get(endpoint, 0), 0, now)
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -122,6 +122,7 @@
         retry budget until then.
     :param on_quarantine: called with a quarantine of prompt parts that changed, what happened and
         the time.
+    :param may_probe: returns whether this host may send a request with a quarantined part now.
     :ivar host_count: number of hosts that share the retry budget.
     :ivar suspects: events about requests that may crash endpoints, exchanged between hosts.
     :ivar parts: quarantine of prompt parts that crash engines, exchanged between hosts.
@@ -135,6 +136,7 @@
         rng: random.Random,
         started_at: float = float("-inf"),
         on_quarantine: Callable[[Quarantine, str, float], None] = lambda *change: None,
+        may_probe: Callable[[], bool] = lambda: False,
     ) -> None:
         self._zone = zone
         self._bounds = bounds
@@ -162,7 +164,7 @@
         self._started_at = started_at
         self.host_count = 1
         self.suspects = Suspects(origin)
-        self.parts = PartQuarantine(on_quarantine)
+        self.parts = PartQuarantine(on_quarantine, may_probe)
 
     # Inputs.
 
--- a/catkinhook/requests/partevidence.py
+++ b/catkinhook/requests/partevidence.py
@@ -81,6 +81,8 @@
 
     def __init__(self) -> None:
         self._answered_at_by_unit: OrderedDict[str, float] = OrderedDict()
+        # Times at which quarantines were lifted, of which not all follow an answer.
+        self._cleared_at_by_unit: OrderedDict[str, float] = OrderedDict()
         self._crash_by_id_by_unit: OrderedDict[str, dict[CrashId, Crash]] = OrderedDict()
         self._expired_at = float("-inf")
 
@@ -109,17 +111,20 @@
         """Clear a unit, and a part without a model also under each model, of earlier crashes."""
         same = [other for other in self._crash_by_id_by_unit if _without_model(other) == unit]
         for cleared in {unit, *same}:
-            self.add_answer(cleared, at)
+            self._cleared_at_by_unit[cleared] = at
+            self._cleared_at_by_unit.move_to_end(cleared)
+        while len(self._cleared_at_by_unit) > MAX_SUSPECTED_UNITS:
+            self._cleared_at_by_unit.popitem(last=False)
 
     def answered_at(self, unit: str) -> float:
         """Return the time of the latest answer to a request with the unit."""
         return self._answered_at_by_unit.get(unit, float("-inf"))
 
     def open_crashes(self, unit: str) -> dict[CrashId, Crash]:
-        """Return the crashes since the latest answer to a request with the unit."""
-        answered_at = self.answered_at(unit)
+        """Return the crashes since the latest answer to a request with the unit, or lift."""
+        since = max(self.answered_at(unit), self._cleared_at_by_unit.get(unit, float("-inf")))
         crash_by_id = self._crash_by_id_by_unit.get(unit, {})
-        return {key: crash for key, crash in crash_by_id.items() if crash.at > answered_at}
+        return {key: crash for key, crash in crash_by_id.items() if crash.at > since}
 
     def crashed_units(self) -> list[str]:
         """Return the units with crashes, whether or not they were answered since."""
--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -20,13 +20,18 @@
     weigh,
 )
 
-# Time after which quarantined parts are probed. It doubles after each probe that crashes an engine.
+# Time after which quarantined parts are probed, which grows with each probe that crashes an engine.
 FIRST_HOLD_S = 60.0
+HOLD_GROWTH = 4.0
 MAX_HOLD_S = 3600.0
-# Enough to reach the maximum. Strikes come in messages, and 2.0 to a power above 1023 overflows.
-MAX_HOLD_DOUBLINGS = 16
-# A probe that ended without a result is repeated after this time.
-PROBE_INTERVAL_S = 30.0
+# Probes that may crash an engine before only an operator, or the end of the quarantine, lets the
+# part back in.
+MAX_PROBES = 3
+# A quarantine ends after this many times ``hold_s``. The holder may get no request with a part that
+# is asked for seldom, and so never probe it.
+HOLDS_TO_EXPIRY = 10
+# Enough to reach the maximum. Strikes come in messages, and a large power overflows.
+MAX_HOLD_STEPS = 16
 # Time for which the strikes of a lifted quarantine are remembered.
 LIFTED_TTL_S = 2 * MAX_HOLD_S
 MAX_QUARANTINES = 64
@@ -101,12 +106,18 @@
     @property
     def hold_s(self) -> float:
         """Seconds after which the units may be probed."""
-        doublings = min(self.strikes - 1, MAX_HOLD_DOUBLINGS)
-        return min(MAX_HOLD_S, FIRST_HOLD_S * 2.0**doublings)
+        steps = min(self.strikes - 1, MAX_HOLD_STEPS)
+        return min(MAX_HOLD_S, FIRST_HOLD_S * HOLD_GROWTH**steps)
 
     def probe_due_at(self) -> float:
         """Return the time from which a probe may be sent."""
-        return max(self.at + self.hold_s, self.probed_at + PROBE_INTERVAL_S)
+        if self.strikes > MAX_PROBES:
+            return self.expires_at()
+        return max(self.at, self.probed_at) + self.hold_s
+
+    def expires_at(self) -> float:
+        """Return the time at which the quarantine ends without a probe."""
+        return self.at + HOLDS_TO_EXPIRY * self.hold_s
 
     def describe_crashes(self, now: float) -> str:
         """Return the engines that crashed, with the age of each crash."""
@@ -119,18 +130,22 @@
     """Evidence against prompt parts and the quarantines that follow from it; not thread-safe.
 
     :param on_change: called with a quarantine that changed, what happened and the time.
-    :ivar may_probe: whether this host sends the probes. Only the holder of the lease for orders
-        does, so that there is one at a time.
+    :param may_probe: returns whether this host may send a probe now. Only the holder of the lease
+        for orders may, so that there is one at a time.
     """
 
-    def __init__(self, on_change: Callable[[Quarantine, str, float], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[Quarantine, str, float], None],
+        may_probe: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._on_change = on_change
+        self._may_probe = may_probe
         self._evidence = CrashEvidence()
         self._quarantine_by_key: dict[str, Quarantine] = {}
         self._answered_at_by_service: dict[str, float] = {}
         # Services of suspects that wait for an answer to another request.
         self._unconfirmed_services: set[str] = set()
-        self.may_probe = False
 
     def record_crash(
         self, units: tuple[str, ...], crash_id: CrashId, has_started: bool, now: float
@@ -168,7 +183,8 @@
     def is_probe_due(self, units: tuple[str, ...], now: float) -> bool:
         """Return whether a request with quarantined units may be sent as a probe."""
         found = self._find_all(units)
-        return self.may_probe and all(now >= quarantine.probe_due_at() for quarantine in found)
+        is_due = all(now >= quarantine.probe_due_at() for quarantine in found)
+        return is_due and self._may_probe()
 
     def record_probe(self, units: tuple[str, ...], now: float) -> None:
         """Record that a request with quarantined units is sent as a probe."""
@@ -355,7 +371,9 @@
         self._evidence.expire(now)
         for key, quarantine in list(self._quarantine_by_key.items()):
             lifted_at = quarantine.lifted_at
-            if lifted_at is not None and now - lifted_at > LIFTED_TTL_S:
+            if lifted_at is None and now >= quarantine.expires_at():
+                self._lift(quarantine, now, "lifted: expired")
+            elif lifted_at is not None and now - lifted_at > LIFTED_TTL_S:
                 del self._quarantine_by_key[key]
 
 
--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -26,8 +26,9 @@
 )
 from catkinhook.requests.partquarantine import (
     FIRST_HOLD_S,
+    HOLDS_TO_EXPIRY,
+    MAX_PROBES,
     MAX_QUARANTINES,
-    PROBE_INTERVAL_S,
     PartEvent,
     PartEventKind,
     PartQuarantine,
@@ -55,6 +56,7 @@
     def setUp(self) -> None:
         self.now = 100.0
         self.changes: list[str] = []
+        self.is_holder = False
         self.parts = self.make_host()
         self.crashes = 0
 
@@ -62,7 +64,7 @@
         def on_change(quarantine: Quarantine, change: str, now: float) -> None:
             self.changes.append(change)
 
-        return PartQuarantine(on_change)
+        return PartQuarantine(on_change, lambda: self.is_holder)
 
     def answer(self, *parts: str, model: str = "m1") -> None:
         self.now += 0.01
@@ -187,24 +189,40 @@
         units = make_units(FIRST, DEADLY)
         self.now += FIRST_HOLD_S
         self.assertFalse(self.parts.is_probe_due(units, self.now))
-        self.parts.may_probe = True
+        self.is_holder = True
         self.assertTrue(self.parts.is_probe_due(units, self.now))
         self.parts.record_probe(units, self.now)
-        self.assertFalse(self.parts.is_probe_due(units, self.now + PROBE_INTERVAL_S - 1))
+        self.assertFalse(self.parts.is_probe_due(units, self.now + FIRST_HOLD_S - 1))
 
-    def test_probe_that_crashes_doubles_the_time_to_the_next(self) -> None:
-        """Guards against an engine that crashes each minute for as long as the part is deadly."""
+    def test_probes_end_after_a_few_crashes(self) -> None:
+        """Guards against an engine that crashes each minute for as long as the part is deadly.
+
+        The users' rule allows three requests with the part after the fifth crash.
+        """
         self.quarantine_part()
-        self.parts.may_probe = True
-        units, probes, ended = make_units(FIRST, DEADLY), 0, self.now + 24 * 3600.0
+        self.is_holder = True
+        units, probes, ended = make_units(FIRST, DEADLY), 0, self.now + 8 * 3600.0
         while self.now < ended:
             self.now += 10.0
             if self.parts.is_probe_due(units, self.now):
                 self.parts.record_probe(units, self.now)
                 self.crash(FIRST, DEADLY)
                 probes += 1
+            self.parts.events(self.now, MAX_PART_EVENTS, 10.0)
         self.assertTrue(self.is_refused(FIRST, DEADLY))
-        self.assertLessEqual(probes, 30)
+        self.assertEqual(probes, MAX_PROBES)
+        self.assertLessEqual(probes, MAX_LATE_SENDS)
+
+    def test_quarantine_of_a_part_that_is_seldom_asked_for_ends(self) -> None:
+        """Guards against a part that stays refused as the holder gets no request to probe it."""
+        self.quarantine_part()
+        self.now += HOLDS_TO_EXPIRY * FIRST_HOLD_S
+        self.parts.events(self.now, MAX_PART_EVENTS, 10.0)
+        self.assertFalse(self.is_refused(FIRST, DEADLY))
+        self.crash(FIRST, DEADLY)
+        self.answer(FIRST)
+        self.crash(FIRST, DEADLY)
+        self.assertEqual(self.parts.find(make_units(FIRST, DEADLY)).strikes, 2)
 
     def test_answered_probe_lifts_the_quarantine(self) -> None:
         """Guards against refusals of a part that was deadly for some seconds only."""
