Name a crash by the boot of the engine when the attempt started

One crash of an engine could count twice against a part, and so quarantine it: a host that learned of the restart before it recorded the crash reported it under the next boot id.

The attempt now keeps the boot id of the engine to which it was sent. test_crash_is_known_by_the_boot_of_its_attempt failed before: {'2'} != {'1'}.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -81,6 +81,7 @@
 class _Attempt:
     """An attempt in progress.
 
+    :ivar boot_id: boot id of the endpoint when the attempt started.
     :ivar load: other requests on the endpoint when the attempt started.
     :ivar uncached_tokens: expected number of uncached prompt tokens.
     :ivar hinted_share: share of the prompt that the prefix index lists as cached.
@@ -89,6 +90,7 @@
 
     request: RoutedRequest
     endpoint: str
+    boot_id: str
     started_at: float
     load: float
     uncached_tokens: float
@@ -352,7 +354,8 @@
         view = self._endpoint_by_id.get(state.endpoint)
         if view is None or view.leaving:
             return
-        crash_id = (state.endpoint, view.boot_id)
+        # The entry may already be that of the next start.
+        crash_id = (state.endpoint, state.boot_id)
         self.parts.record_crash(state.request.units, crash_id, has_started, now)
 
     def finish(
@@ -575,7 +578,14 @@
         load = self._load(view.endpoint)
         uncached_tokens, hinted_share = self._estimate_uncached_tokens(request, view, now)
         self._attempt_by_number[number] = _Attempt(
-            request, view.endpoint, now, load.current(), uncached_tokens, hinted_share, probe
+            request,
+            view.endpoint,
+            view.boot_id,
+            now,
+            load.current(),
+            uncached_tokens,
+            hinted_share,
+            probe,
         )
         load.start(now)
         tokens = self._reserved_tokens_by_id.get(view.endpoint, 0) + _reserved_tokens(request)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """A complete host whose engines crash when they start to answer prompts with one part."""
 
+import contextlib
 import http.client
 import json
 import socket
@@ -53,7 +54,8 @@
         request.end_headers()
         request.close_connection = True
         if not self.survives:
-            self._server.socket.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                self._server.socket.shutdown(socket.SHUT_RDWR)
             threading.Thread(target=self.close).start()
 
 
--- a/tests/test_hostscheduler.py
+++ b/tests/test_hostscheduler.py
@@ -320,6 +320,15 @@
                     self.scheduler.set_endpoints(self.views, self.now)
             self.assertEqual(bool(self.scheduler.parts.active()), change == "crashed")
 
+    def test_crash_is_known_by_the_boot_of_its_attempt(self) -> None:
+        """Guards against a crash that counts twice, as only some hosts knew of the restart."""
+        cut = self.send_with_part("cut", "s1")
+        views = {name: attrs.evolve(view, boot_id="2") for name, view in self.views.items()}
+        self.scheduler.set_endpoints(views, self.now)
+        self.scheduler.record_crash(cut.attempt, True, self.now)
+        events = self.scheduler.parts.events(self.now, 9, 9.0)
+        self.assertEqual({event.boot_id for event in events}, {"1"})
+
     def test_quarantined_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
         """Guards against a 503, which promises that the request has not run, after an attempt."""
         for endpoint in ("x", "y"):
