Blame no request for the planned end of an engine

A request that two engines cut as they left was refused for an hour on all hosts: its connections broke before an event, which counted as two crashes under it.

Engines that are leaving or no longer registered are no evidence against a request either. test_planned_ends_of_engines_quarantine_no_request failed before: two events of kind 'crash' were recorded.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -351,8 +351,7 @@
         state = self._attempt_by_number.get(attempt)
         if state is None or state.first_event_at is not None:
             return
-        view = self._endpoint_by_id.get(state.endpoint)
-        if view is None or view.leaving:
+        if self._is_leaving(state.endpoint):
             return
         # The entry may already be that of the next start.
         crash_id = (state.endpoint, state.boot_id)
@@ -395,11 +394,11 @@
         elif outcome is not Outcome.CANCELLED:
             self._ejections.record_failure(endpoint, outcome is Outcome.CRASHED, now)
         # A refused connection carried no request, so the request can't have crashed the endpoint.
-        if outcome is Outcome.CRASHED and state.first_event_at is None and not is_down:
-            view = self._endpoint_by_id.get(endpoint)
-            boot = view.boot_id if view else ""
-            fingerprint = request.fingerprint
-            self.suspects.record(EventKind.CRASH, fingerprint, request.model, now, endpoint, boot)
+        is_crash = outcome is Outcome.CRASHED and state.first_event_at is None and not is_down
+        if is_crash and not self._is_leaving(endpoint):
+            self.suspects.record(
+                EventKind.CRASH, request.fingerprint, request.model, now, endpoint, state.boot_id
+            )
         self.dispatch_waiting(now)
 
     # Reports to other hosts and to the holder of the order lease.
@@ -535,6 +534,10 @@
         used = own_tokens + other_requests * mean_reserved
         return used == 0 or used + reserved <= MAX_CACHE_SHARE * spec.engine.cache_tokens
 
+    def _is_leaving(self, endpoint: str) -> bool:
+        view = self._endpoint_by_id.get(endpoint)
+        return view is None or view.leaving
+
     def _own_requests(self, view: EndpointView) -> int:
         return self._load(view.endpoint).own_requests
 
--- a/tests/test_hostscheduler.py
+++ b/tests/test_hostscheduler.py
@@ -320,6 +320,17 @@
                     self.scheduler.set_endpoints(self.views, self.now)
             self.assertEqual(bool(self.scheduler.parts.active()), change == "crashed")
 
+    def test_planned_ends_of_engines_quarantine_no_request(self) -> None:
+        """Guards against refusals, for an hour, of a request that two engines cut as they left."""
+        for number, endpoint in enumerate(("e1", "e2")):
+            self.scheduler.set_endpoints({endpoint: self.views[endpoint]}, self.now)
+            self.submit_request(attrs.evolve(self.make_request(f"r{number}"), fingerprint="same"))
+            cut = self.decisions[f"r{number}"]
+            leaving = {endpoint: attrs.evolve(self.views[endpoint], leaving=True)}
+            self.scheduler.set_endpoints(leaving, self.now)
+            self.scheduler.finish(cut.attempt, Outcome.CRASHED, self.now)
+        self.assertEqual(self.scheduler.suspects.events(self.now, 9), [])
+
     def test_crash_is_known_by_the_boot_of_its_attempt(self) -> None:
         """Guards against a crash that counts twice, as only some hosts knew of the restart."""
         cut = self.send_with_part("cut", "s1")
