Break off a stream that ends between CR and LF

What callers saw: a stream with CR LF line ends, neither length nor chunks, whose endpoint stopped between the last CR and LF, ended as complete, one byte short. A stream that may be resumed was not resumed.

Cause: a CR alone ends a line too, so the event counted as complete, which is right for its reader, and the end of the connection was taken for the end of the stream.

Evidence: test_stream_cut_inside_a_line_end_is_broken_off failed before, "2 of 37" cuts: Received(status=200, body=b'id: 1\r\ndata: x\r\n\r', is_whole=True). It passes now, as do the modules test_answer_cut, test_fuzz_events and test_stream_answers (26 tests).

Why the fix works: an event that uses CR LF and whose last line ends with CR alone was cut. The event is still passed on as soon as its CR arrives, so nothing waits for the LF. An answer with a length or chunks is judged by these alone, since its framing tells whether it is complete.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -372,11 +372,15 @@
             raise self._error(f"broke off its answer: {error!r}", outcome=outcome) from error
         return data
 
+    @property
+    def is_delimited(self) -> bool:
+        """Return whether a length or chunks mark the end of the body."""
+        return self._chunks is not None or self._bytes_left is not None
+
     def finish(self) -> None:
         """Return the connection to the pool if the answer was read to its end, else close it."""
-        has_length = self._chunks is not None or self._bytes_left is not None
         has_extra_bytes = self._has_extra_bytes or bool(self._buffered)
-        is_clean = self._is_ended and has_length and not has_extra_bytes
+        is_clean = self._is_ended and self.is_delimited and not has_extra_bytes
         if is_clean and not self._response.will_close and not self._is_aborted:
             self._release_connection()
         else:
--- a/catkinhook/requests/eventsplitter.py
+++ b/catkinhook/requests/eventsplitter.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self._pending = b""
+        self._last_block = b""
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the blocks of lines that are complete with these bytes.
@@ -48,19 +49,28 @@
             start = match.end()
         self._pending = data[start:]
         self._check_size()
+        self._last_block = blocks[-1] if blocks else self._last_block
         return blocks
 
     def _check_size(self) -> None:
         if len(self._pending) > MAX_EVENT_BYTES:
             raise EventError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
 
-    def finish(self) -> None:
+    def finish(self, is_delimited: bool = True) -> None:
         """Check that the stream ends after a complete block.
 
-        :raises EventError: if it ends within one.
+        A block is complete for its reader once the CR of its last CR LF has arrived, so it is
+        returned then. If nothing but the end of the connection ends the stream, a missing LF shows
+        that it was cut.
+
+        :param is_delimited: whether a length or chunks marked the end of the stream.
+        :raises EventError: if it ends within a block or a line end.
         """
         if self._pending:
             raise EventError("the stream ended within an event")
+        is_cut = self._last_block.endswith(b"\r") and b"\r\n" in self._last_block
+        if is_cut and not is_delimited:
+            raise EventError("the stream ended within a line end")
 
 
 class EventOrderChecker:
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -51,11 +51,14 @@
     :ivar status: HTTP status.
     :ivar headers: headers for the caller.
     :ivar load: running and waiting requests of the endpoint, None if it did not report them.
+    :ivar is_delimited: whether a length or chunks mark the end of the body; otherwise it ends with
+        its connection.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     load: tuple[int, int] | None
+    is_delimited: bool
 
     def read(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
         """Return the next bytes, empty at the end of the body.
@@ -540,7 +543,7 @@
                     yield chunk
                 if error is not None:
                     raise error
-            splitter.finish()
+            splitter.finish(answer.is_delimited)
             if not is_started:
                 # Streams have no end marker, so an empty one can't be told from a complete one.
                 raise EventError("the stream ended without an event")
--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -283,6 +283,34 @@
                 expected_by_answer[answer] = (200, events(1), count < LAST)
         self.check("live", expected_by_answer)
 
+    def test_stream_cut_inside_a_line_end_is_broken_off(self) -> None:
+        """A stream that ends between CR and LF must not end as complete."""
+        stream = events(1, end=b"\r\n")
+        head, _ = render_answer(stream, "closing")
+        expected_by_answer, expected_by_resumed = {}, {}
+        for size in range(len(stream) + 1):
+            # The empty line that ends an event is complete for a caller once its CR has arrived.
+            content = stream[:size]
+            count = content.count(b"\r\n\r")
+            passed = content[: content.rfind(b"\r\n\r") + 3] if count else b""
+            is_whole = bool(count) and content == events(1, count, b"\r\n")
+            passed = content if is_whole else passed
+            if content.count(b"\r\n\r\n") == count:
+                passed = events(1, count, b"\r\n")
+            answer = RawAnswer(head + content, "close")
+            expected_by_answer[answer] = (200, passed, is_whole) if count else REFUSED
+            rest = b"" if is_whole else events(count + 1)
+            expected_by_resumed[answer] = (200, passed + rest, is_whole or count < LAST)
+        self.check("digest", expected_by_answer)
+        self.check("live", expected_by_resumed)
+
+    def test_mixed_line_ends_within_a_framing_are_whole(self) -> None:
+        """A stream that its framing calls complete must not be broken off for its line ends."""
+        stream = events(1, end=b"\r\n")[:-1]
+        for framing in ("length", "chunked"):
+            whole = RawAnswer(b"".join(render_answer(stream, framing)))
+            self.check("digest", {whole: (200, stream, True)})
+
 
 if __name__ == "__main__":
     unittest.main()
