Reset the connection of a caller without chunks when its answer is broken off

What callers saw: a caller with HTTP/1.0 got a stream whose endpoint broke off as a whole one. It gets no chunks, so the end of its connection ends the stream, and a close looked like that end.

Cause: the server closes the connection after a response that failed, in whatever framing it was. With chunks the last chunk is missing; without them nothing is.

Evidence: test_broken_stream_does_not_look_whole_without_chunks failed before, "51 of 55" cuts: Received(status=200, body=b'id: 1\ndata: x\n\n', is_whole=True).

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -1,6 +1,8 @@
 """Extensions of waitress: problem documents, back pressure, threads on demand and draining."""
 
 import contextlib
+import socket
+import struct
 
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
@@ -18,6 +20,8 @@
 # A stream with more unsent output than this is returned from the thread that all streams share to
 # the thread of its request.
 MAX_BACKLOG_BYTES = 64 * KIB
+# Value of SO_LINGER with which closing a socket resets its connection.
+_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class Parser(HTTPRequestParser):
@@ -71,7 +75,20 @@
 
 
 class Task(WSGITask):
-    """WSGI task that adds ``OUTPUT_BACKLOGGED`` and ``PARSED_REQUEST`` to the environment."""
+    """WSGI task that adds ``OUTPUT_BACKLOGGED`` and ``PARSED_REQUEST`` to the environment.
+
+    A response that is broken off never looks complete.
+    """
+
+    def execute(self) -> None:
+        """Write the response; if that fails, reset a connection whose end would complete it."""
+        try:
+            super().execute()
+        except Exception:
+            has_length = self.chunked_response or self.content_length is not None
+            if self.wrote_header and not has_length:
+                self.channel.reset_on_close()
+            raise
 
     def get_environment(self) -> dict:
         """Return the WSGI environment."""
@@ -106,6 +123,14 @@
     error_task_class = ProblemTask
     parser_class = Parser
 
+    def reset_on_close(self) -> None:
+        """Let the close reset the connection; the caller may then miss bytes that it has not read.
+
+        A caller with HTTP/1.0 gets no chunks, so a stream ends with its connection.
+        """
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+
 
 class Server(TcpWSGIServer):
     """waitress server that disconnects callers that stopped reading, and supports draining."""
--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -312,5 +312,19 @@
             self.check("digest", {whole: (200, stream, True)})
 
 
+class CallerFramingTest(CutCase):
+    """Framing of answers towards the caller."""
+
+    def test_broken_stream_does_not_look_whole_without_chunks(self) -> None:
+        """A caller with HTTP/1.0 gets no chunks, and must see that a stream was broken off."""
+        expected_by_answer = {}
+        for answer, _, content, is_whole in cut_bodies(events(1)):
+            count = content.count(b"\n\n")
+            if count and answer.ending == "close":
+                is_complete = is_whole and content == events(1, count)
+                expected_by_answer[answer] = (200, None, is_complete)
+        self.check("digest", expected_by_answer, version="1.0")
+
+
 if __name__ == "__main__":
     unittest.main()
