End answers to HEAD, and those with 204 or 304, with their head

What callers saw: 504 at their deadline for each HEAD request, and for an answer with 204 or 304 that names chunks. A refusal of a HEAD request carried a body, which the next answer on the connection follows.

Cause: the host looked at the length and coding of an answer before it asked whether there is a body at all, and never looked at the method. Its server, waitress, leaves it to applications to send no body to HEAD.

Why the fix works: the endpoint's answer ends with its head in these cases, and the server writes no body and no length to HEAD, so that no length of 0 is announced for a body that was not asked for.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -153,6 +153,7 @@
         self._chunks: ChunkDecoder | None = None
         self._bytes_left: int | None = None
         self._is_ended = False
+        self._is_head_request = False
         self._buffered = b""
         self._has_extra_bytes = False
         self._is_aborted = False
@@ -177,6 +178,7 @@
         :param may_leave: called while the endpoint seems silent; returns whether to stop early.
         :raises AttemptError: if this attempt got no valid answer.
         """
+        self._is_head_request = method == "HEAD"
         limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
         try:
             connection = self._connections.acquire(self._endpoint.address, limits, fresh)
@@ -273,12 +275,13 @@
         get_all = self._response.headers.get_all
         codings = [value.strip().lower() for value in get_all("Transfer-Encoding", [])]
         lengths = {value.strip() for value in get_all("Content-Length", [])}
-        if codings == ["chunked"]:
+        if self._is_head_request or self.status in _BODILESS:
+            # The framing headers then describe the body that another answer would have.
+            self._is_ended = True
+        elif codings == ["chunked"]:
             self._chunks = ChunkDecoder()
         elif codings or len(lengths) > 1:
             raise self._error("sent an answer of ambiguous framing", fault="unframed")
-        elif self.status in _BODILESS:
-            self._is_ended = True
         elif lengths:
             self._bytes_left = parse_count(lengths.pop())
             if self._bytes_left is None:
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -77,11 +77,18 @@
 class Task(WSGITask):
     """WSGI task that adds ``OUTPUT_BACKLOGGED`` and ``PARSED_REQUEST`` to the environment.
 
-    A response that is broken off never looks complete.
+    A response that is broken off never looks complete, and one to HEAD has no body.
     """
 
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body may follow the head of the response."""
+        return self.request.command != "HEAD" and super().has_body
+
     def execute(self) -> None:
         """Write the response; if that fails, reset a connection whose end would complete it."""
+        # waitress logs a warning for each body that it drops.
+        self.logged_write_no_body = self.request.command == "HEAD"
         try:
             super().execute()
         except Exception:
--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -325,6 +325,24 @@
                 expected_by_answer[answer] = (200, None, is_complete)
         self.check("digest", expected_by_answer, version="1.0")
 
+    def test_answers_without_a_body_do_not_wait_for_one(self) -> None:
+        """Answers to HEAD and those with 204 or 304 end with their head, whatever it announces."""
+        for method, status in (("HEAD", 200), ("HEAD", 404), ("GET", 204), ("GET", 304)):
+            for framing in FRAMINGS:
+                with self.subTest(method=method, status=status, framing=framing):
+                    head, _ = render_answer(PLAIN_BODY, framing, f"{status} X")
+                    received = self.receive("post", RawAnswer(head), method)
+                    expected = (status, b"", True)
+                    self.assertEqual((received.status, received.body, received.is_whole), expected)
+                    # No header may announce a body of another size than that of the endpoint.
+                    self.assertNotIn(b"content-length", received.head.lower())
+
+    def test_refusal_of_a_head_request_has_no_body(self) -> None:
+        """Bytes after the head of an answer to HEAD would be read as the next answer."""
+        for route, status in (("post", 502), ("unknown", 404)):
+            received = self.receive(route, RawAnswer(b"", "close"), "HEAD")
+            self.assertEqual((received.status, received.body), (status, b""))
+
 
 if __name__ == "__main__":
     unittest.main()
