Refuse answers to a gateway whose head is incomplete

What callers saw: an engine or plain service that stopped within its head and closed gave a 200 with an empty body, framed as whole, or a success without the headers that had not come. A cut within "X-Boot-Id" ended streams that their engine still had, with "endpoint has restarted".

Cause: http.client takes the end of the connection for the end of the head. Heads on the path of a host were checked, those that `Attempt` reads were not. Half a boot id differs from the one that is known, so it showed a crash, after which a request counts as one that crashes engines.

Why the fix works: the response object itself refuses a line of a head that lacks its end, on every path and after interim answers, so no reader can forget the check. It replaces `BoundedReader.may_end`.

--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -16,6 +16,7 @@
 
 from catkinhook.addresses import split_address
 from catkinhook.errors import EngineError, Ran
+from catkinhook.httpheads import CheckedResponse
 from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.views import EndpointView
@@ -84,16 +85,11 @@
 
 
 class BoundedReader(io.RawIOBase):
-    """Raw stream over a socket with limits on the number of bytes and the total time.
-
-    :ivar may_end: whether the peer may close the connection. http.client takes a head that is cut
-        off between two lines for a complete one.
-    """
+    """Raw stream over a socket with limits on the number of bytes and the total time."""
 
     def __init__(self, sock: socket.socket, size: int, seconds: float) -> None:
         super().__init__()
         self._socket = sock
-        self.may_end = True
         self.set_bounds(size, seconds)
 
     def set_bounds(self, size: int, seconds: float) -> None:
@@ -109,7 +105,6 @@
         """Read once.
 
         :raises ConnectionAbortedError: if the limit on bytes is reached.
-        :raises ConnectionResetError: if the peer closed the connection but must not.
         :raises TimeoutError: if the time limit is reached.
         """
         if self._remaining <= 0:
@@ -120,24 +115,9 @@
         self._socket.settimeout(seconds)
         count = self._socket.recv_into(buffer, min(len(buffer), self._remaining))
         self._remaining -= count
-        if not count and not self.may_end:
-            raise ConnectionResetError(
-                "the connection was closed before the answer's head was complete"
-            )
         return count
 
 
-class FinalResponse(http.client.HTTPResponse):
-    """Response that skips all interim answers; http.client skips only those with status 100."""
-
-    def begin(self) -> None:
-        """Read the head of the final answer."""
-        super().begin()
-        while 100 <= self.status < 200:
-            self.headers = None
-            super().begin()
-
-
 class CountingConnection(HTTPConnection):
     """Connection that counts the bytes sent for the current request.
 
@@ -215,11 +195,9 @@
         """
         self._keep_open = True
         self.reader = BoundedReader(self.sock, MAX_HEAD_BYTES, seconds)
-        self.reader.may_end = False
         try:
             return http.client.HTTPConnection.getresponse(self)
         finally:
-            self.reader.may_end = True
             self._keep_open = False
 
     def close(self) -> None:
@@ -265,7 +243,7 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
 
     def _make_response(self, *args: object, **kwargs: object) -> http.client.HTTPResponse:
-        self.raw = FinalResponse(*args, **kwargs)
+        self.raw = CheckedResponse(*args, **kwargs)
         if self.reader is not None:
             self.raw.fp.close()
             self.raw.fp = io.BufferedReader(self.reader)
