Refuse answers of the store and the platform whose head is incomplete

What could be seen: when the store stopped within its head and closed, a row, such as that of the lease, did not seem to exist, or a write seem not to be executed. The clients of the object store and of the table service took such an answer for an empty object, a stored object or an absent row.

Cause: http.client takes the end of the connection for the end of the head. Without a length the empty rest is a whole body, and these clients read an empty body as "nothing there".

Why the fix works: all clients with urllib3's pools use the response class of httpheads, which refuses a head without its end. The load generator and the emulated engine, which are no part of the serving path, keep urllib3's own.

--- a/catkinhook/control/engineapi.py
+++ b/catkinhook/control/engineapi.py
@@ -12,6 +12,7 @@
 from catkinhook.clocks import Clock
 from catkinhook.control.ledger import Order, Progress, Report
 from catkinhook.errors import EngineError, Ran
+from catkinhook.httpheads import make_pool_manager
 
 # Connections per engine. Its worker thread and adapter requests never use more.
 CONNECTIONS_PER_ENGINE = 2
@@ -54,7 +55,7 @@
 
     def __init__(self, timeout: float, clock: Clock) -> None:
         self._clock = clock
-        self._pool = urllib3.PoolManager(
+        self._pool = make_pool_manager(
             num_pools=64,
             maxsize=CONNECTIONS_PER_ENGINE,
             retries=False,
--- a/catkinhook/operations/adminclient.py
+++ b/catkinhook/operations/adminclient.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import StepError
+from catkinhook.httpheads import make_pool_manager
 from catkinhook.state.configuration import HISTORY_LIMIT
 from catkinhook.validationerrors import Fault
 
@@ -67,7 +68,7 @@
         self._url = url.rstrip("/")
         self._headers = {"Authorization": f"Bearer {token}", "X-Author": author}
         # A change whose response was lost may have been applied, so it must not be retried blindly.
-        self._pool = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(total=timeout))
+        self._pool = make_pool_manager(retries=False, timeout=urllib3.Timeout(total=timeout))
 
     def close(self) -> None:
         """Close the pooled connections."""
--- a/catkinhook/platform/storeclient.py
+++ b/catkinhook/platform/storeclient.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import Effect, StoreConflict, StoreError
+from catkinhook.httpheads import CheckedPool
 from catkinhook.state.storeinterfaces import TableChanges, VersionedRow
 from catkinhook.texts import is_encodable
 
@@ -44,9 +45,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=4, retries=False, socket_options=_OPTIONS
-        )
+        self._pool = CheckedPool(host, int(port), maxsize=4, retries=False, socket_options=_OPTIONS)
 
     def start(self) -> None:
         """Do nothing; connections are opened on first use."""
--- a/catkinhook/state/hostlist.py
+++ b/catkinhook/state/hostlist.py
@@ -10,6 +10,7 @@
 
 from catkinhook.addresses import split_address
 from catkinhook.errors import StoreError
+from catkinhook.httpheads import make_pool_manager
 from catkinhook.texts import is_encodable
 
 _log = logging.getLogger(__name__)
@@ -52,7 +53,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(total=timeout))
+        self._pool = make_pool_manager(retries=False, timeout=urllib3.Timeout(total=timeout))
         self._invalid_rows = 0
 
     def start(self) -> None:
--- a/catkinhook/state/objectstore.py
+++ b/catkinhook/state/objectstore.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import Effect, StoreError
+from catkinhook.httpheads import make_pool_manager
 
 
 class ObjectStore(Protocol):
@@ -31,7 +32,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(
+        self._pool = make_pool_manager(
             maxsize=8, retries=False, timeout=urllib3.Timeout(total=timeout)
         )
 
--- a/catkinhook/state/tableservice.py
+++ b/catkinhook/state/tableservice.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import Effect, StoreConflict, StoreError
+from catkinhook.httpheads import make_pool_manager
 
 ABSENT = 0
 SCAN_LIMIT = 1000
@@ -127,7 +128,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(
+        self._pool = make_pool_manager(
             maxsize=16, retries=False, timeout=urllib3.Timeout(total=timeout)
         )
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -35,7 +35,7 @@
             def do_GET(self) -> None:  # noqa: N802
                 fake.handle(self)
 
-            do_POST = do_HEAD = do_GET  # noqa: N815
+            do_POST = do_PUT = do_HEAD = do_GET  # noqa: N815
 
         self._server = _Server(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
--- a/tests/test_answer_cut_clients.py
+++ b/tests/test_answer_cut_clients.py
@@ -1,12 +1,27 @@
 """Answers that other HTTP clients than that of a host's requests get cut at every byte."""
 
+import json
 import unittest
+from http.server import BaseHTTPRequestHandler
 from typing import Any
 
 import urllib3
+from result import Result
 
+from catkinhook.control.engineapi import HttpEngineApi
+from catkinhook.control.sequencedorders import SequencedOrder
+from catkinhook.errors import Effect, StoreError
 from catkinhook.gateway import StaticSnapshotSource, build_kernel
+from catkinhook.httpheads import CheckedResponse, make_pool_manager
+from catkinhook.operations.adminclient import AdminClient
+from catkinhook.platform.engineclient import EngineClient
+from catkinhook.platform.protocolnames import OWN_TABLE
+from catkinhook.platform.storeclient import StoreClient, TableFeed, TableRow
 from catkinhook.requests.outcomes import Outcome
+from catkinhook.state.hostlist import HttpHostList
+from catkinhook.state.objectstore import HttpObjectStore
+from catkinhook.state.tableservice import ABSENT, Check, HttpTable, Write
+from catkinhook.state.views import EndpointView
 from tests.gateway_fakes import (
     Cut,
     FakeEndpoint,
@@ -15,6 +30,142 @@
     make_settings,
     make_snapshot,
 )
+from tests.platform_fakes import FakeServer, read_body
+
+MAX_SHOWN = 4
+TIMEOUT_S = 3.0
+
+
+class CuttingServer(FakeServer):
+    """Server that answers each request with given bytes, and closes the connection.
+
+    :ivar answer: bytes of the next answers.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answer = b""
+
+    def handle(self, request: BaseHTTPRequestHandler) -> None:
+        """Answer one request."""
+        read_body(request)
+        request.wfile.write(self.answer)
+        request.close_connection = True
+
+
+def render_answer(body: bytes, status: int = 200) -> bytes:
+    """Return an answer whose length is the last header."""
+    head = b"HTTP/1.1 %d X\r\nConnection: close\r\nContent-Type: text/plain\r\n" % status
+    return head + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class ClientCutTest(unittest.TestCase):
+    """Clients of the store, of engines and of the platform's other services."""
+
+    def setUp(self) -> None:
+        self.server = CuttingServer()
+        self.server.start()
+        self.addCleanup(self.server.close)
+        self.url = f"http://{self.server.address}"
+
+    def cut(self, answer: bytes, call: Any) -> dict[int, Result]:
+        """Return the results of a call by the number of bytes of the answer that were sent."""
+        results = {}
+        for size in range(len(answer)):
+            self.server.answer = answer[:size]
+            results[size] = call()
+        self.server.answer = answer
+        self.assertTrue(call().is_ok(), answer)
+        return results
+
+    def check(self, answer: bytes, call: Any, effect: Effect | None = None) -> None:
+        """Check that a call fails with each incomplete answer, with the given effect, if any."""
+        results = self.cut(answer, call).items()
+        believed = {
+            answer[:size]: result
+            for size, result in results
+            if result.is_ok() or (effect is not None and result.unwrap_err().effect is not effect)
+        }
+        self.assertFalse(list(believed.items())[:MAX_SHOWN], f"{len(believed)} of {len(answer)}")
+
+    def test_cut_answer_of_the_store_shows_no_missing_row(self) -> None:
+        """A head without its end must not show that a row, such as the lease, does not exist."""
+        client = StoreClient(self.server.address)
+        self.addCleanup(client.close)
+        row = {"table": OWN_TABLE, "part": "", "key": "k", "value": "eA==", "ver": 5}
+        rows = render_answer(json.dumps({"rows": [row], "ver": 9, "more_pages": False}).encode())
+        self.check(rows, TableRow(client, OWN_TABLE, "k").read)
+        self.check(rows, lambda: TableFeed(client, OWN_TABLE).read_changes(None, 0.0))
+        self.check(rows, lambda: TableFeed(client, OWN_TABLE).read_changes(4, 0.0))
+
+    def test_cut_answer_of_the_store_does_not_show_the_effect_of_a_write(self) -> None:
+        """A write may have been executed unless a whole answer says otherwise."""
+        client = StoreClient(self.server.address)
+        self.addCleanup(client.close)
+        row = TableRow(client, OWN_TABLE, "k")
+        self.check(render_answer(b'{"ver": 9}'), lambda: row.write(5, b"x"), Effect.UNKNOWN)
+        refused = render_answer(b"{}", 503)
+        for size in range(len(refused)):
+            self.server.answer = refused[:size]
+            error = row.write(5, b"x").unwrap_err()
+            self.assertIsInstance(error, StoreError)
+            self.assertIs(error.effect, Effect.UNKNOWN, refused[:size])
+
+    def test_cut_answer_of_an_engine_is_not_believed(self) -> None:
+        """An order must not count as acknowledged, nor a report as read, by half an answer."""
+        client = EngineClient()
+        self.addCleanup(client.close)
+        view = EndpointView(endpoint="i", address=self.server.address, service="s", zone="z")
+        order = SequencedOrder(is_load=True, model="m", expected=0, holder="h", fence=1)
+        report = b'{"models": [], "busy": false, "sequence": 0, "born": 1}'
+        self.check(render_answer(report), lambda: client.state(view))
+        self.check(render_answer(b"{}", 202), lambda: client.order(view, order))
+
+    def test_cut_answer_of_the_platform_is_not_believed(self) -> None:
+        """An object must not be empty, a row missing or a change made by half an answer."""
+        table, objects = HttpTable(self.url, TIMEOUT_S), HttpObjectStore(self.url, TIMEOUT_S)
+        hosts, engines = HttpHostList(self.url, TIMEOUT_S), HttpEngineApi(TIMEOUT_S, lambda: 0.0)
+        admin = AdminClient(self.url, "token")
+        for client in (table, objects, hosts, engines, admin):
+            self.addCleanup(client.close)
+        write = [Write("t", "k", {"a": 1})]
+        calls = {
+            "object": (b"content", lambda: objects.get("k")),
+            "put": (b"{}", lambda: objects.put("k", b"content")),
+            "row": (b'{"key": "k", "version": 1, "value": {}}', lambda: table.read("t", "k")),
+            "rows": (b'{"rows": []}', lambda: table.scan("t")),
+            "commit": (
+                b'{"versions": []}',
+                lambda: table.commit([Check("t", "k", ABSENT)], write),
+            ),
+            "hosts": (b'{"hosts": []}', hosts.list_hosts),
+            "plain report": (
+                b'{"boot_id": "b"}',
+                lambda: engines.plain_report(self.server.address),
+            ),
+            "claims": (b'{"claims": []}', admin.claims),
+        }
+        for name, (body, call) in calls.items():
+            with self.subTest(name):
+                self.check(render_answer(body), call)
+
+    def test_heads_are_checked_with_tls_too(self) -> None:
+        """Another scheme must not select connections that believe half a head."""
+        for scheme in ("http", "https"):
+            pool = make_pool_manager().connection_from_url(f"{scheme}://127.0.0.1:1")
+            self.assertIs(pool.ConnectionCls.response_class, CheckedResponse)
+
+    def test_cut_refusal_of_the_platform_shows_no_missing_item(self) -> None:
+        """An item is missing only if a whole answer says so."""
+        table, objects = HttpTable(self.url, TIMEOUT_S), HttpObjectStore(self.url, TIMEOUT_S)
+        for client in (table, objects):
+            self.addCleanup(client.close)
+        for name, call in (
+            ("row", lambda: table.read("t", "k")),
+            ("object", lambda: objects.get("k")),
+        ):
+            with self.subTest(name):
+                self.check(render_answer(b"{}", 404), call)
 
 
 class CuttingEngine(FakeEndpoint):
