Don't read an answer of the store without rows as a missing row

What could be seen: a row, such as that of the lease, did not seem to exist when the store's answer with status 200 was empty or had no list of rows.

Cause: `TableRow.read` looked for its row in whatever the body had, and took a failed search for version 0. Reads of whole tables already asked for a version and a list of rows.

Evidence: test_empty_answer_of_the_store_shows_no_missing_row failed before for all of its five bodies ("False is not true").

Why the fix works: only an answer that has a version and a list of rows shows that a row is not among them; any other is an error of the store, after which the lease is neither taken nor given up by mistake.

--- a/catkinhook/platform/storeclient.py
+++ b/catkinhook/platform/storeclient.py
@@ -150,7 +150,7 @@
             "limit": 1,
         }
         result = self._client.call("GET", "/rows-get", fields)
-        return result.and_then(lambda answer: Ok(self._find_row(answer[1])))
+        return result.and_then(lambda answer: self._decode(answer[1]))
 
     def write(self, expected: int, value: bytes) -> Result[int, StoreConflict | StoreError]:
         """Write the row if its version is the expected one; return the new version."""
@@ -174,6 +174,12 @@
             return Err(StoreError(STEP, "", "the answer has no version", Effect.UNKNOWN))
         return Ok(version)
 
+    def _decode(self, body: dict) -> Result[VersionedRow, StoreError]:
+        # An answer that is no list of rows does not show that the row doesn't exist.
+        if not _is_version(body.get("ver")) or not isinstance(body.get("rows"), list):
+            return Err(_make_rows_error(body))
+        return Ok(self._find_row(body))
+
     def _find_row(self, body: dict) -> VersionedRow:
         rows = body.get("rows")
         for row in rows if isinstance(rows, list) else ():
@@ -188,8 +194,7 @@
 def _decode_changes(body: dict, is_full: bool) -> Result[TableChanges, StoreError]:
     version, rows = body.get("ver"), body.get("rows")
     if not _is_version(version) or not isinstance(rows, list):
-        reason = f"the answer has no valid rows: {reprlib.repr(body)}"
-        return Err(StoreError(STEP, "", reason))
+        return Err(_make_rows_error(body))
     value_by_key: dict[str, bytes] = {}
     removed: set[str] = set()
     ignored: list[str] = []
@@ -207,6 +212,10 @@
     return Ok(TableChanges(version, value_by_key, frozenset(removed), is_full, tuple(ignored)))
 
 
+def _make_rows_error(body: dict) -> StoreError:
+    return StoreError(STEP, "", f"the answer has no valid rows: {reprlib.repr(body)}")
+
+
 def _is_version(value: Any) -> bool:
     return type(value) is int and 0 <= value <= MAX_VERSION
 
--- a/tests/test_answer_cut_clients.py
+++ b/tests/test_answer_cut_clients.py
@@ -111,6 +111,18 @@
             self.assertIsInstance(error, StoreError)
             self.assertIs(error.effect, Effect.UNKNOWN, refused[:size])
 
+    def test_empty_answer_of_the_store_shows_no_missing_row(self) -> None:
+        """An answer without rows must not show that a row does not exist."""
+        client = StoreClient(self.server.address)
+        self.addCleanup(client.close)
+        row = TableRow(client, OWN_TABLE, "k")
+        for body in (b"", b"{}", b'{"ver": 9}', b'{"rows": null, "ver": 9}', b'{"rows": []}'):
+            with self.subTest(body=body):
+                self.server.answer = render_answer(body)
+                self.assertTrue(row.read().is_err())
+        self.server.answer = render_answer(b'{"rows": [], "ver": 9}')
+        self.assertEqual(row.read().unwrap().version, 0)
+
     def test_cut_answer_of_an_engine_is_not_believed(self) -> None:
         """An order must not count as acknowledged, nor a report as read, by half an answer."""
         client = EngineClient()
