Refuse answers to a gateway whose length is no number

What callers saw: a success for an answer whose Content-Length is empty, no number or too long. Where such a body was cut, it was framed as whole.

Cause: `Attempt` asked only whether there is a length. urllib3 and http.client ignore one that they can't read, and the body then ends with its connection, where a truncation can't be detected.

Evidence: test_answer_of_unknown_length_is_not_whole failed before in 13 of 22 cases ("200 != 502"), all with a length; other codings than chunked were turned away already. It passes now, as do test_gateway, test_answer_integrity, test_not_run, test_fuzz_http and test_relay (59 tests with test_answer_cut_clients).

Why the fix works: an answer counts as framed only with "chunked" as its only coding, or with one length that is a number, as on the path of a host.

--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -20,6 +20,7 @@
 from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.views import EndpointView
+from catkinhook.texts import parse_count
 from catkinhook.units import KIB, MIB
 
 STEP = "attempts"
@@ -560,13 +561,17 @@
             raise self._make_error(reason, fault="crossed")
 
     def _has_framed_body(self) -> bool:
+        """Return whether a truncation of the body can be detected."""
         response = self._response
-        headers = response.headers
-        return (
-            response.status in _BODILESS_STATUS
-            or "content-length" in headers
-            or headers.get("transfer-encoding", "").lower() == "chunked"
-        )
+        get_all = response.headers.getlist
+        codings = [value.strip().lower() for value in get_all("Transfer-Encoding")]
+        lengths = {value.strip() for value in get_all("Content-Length")}
+        if response.status in _BODILESS_STATUS:
+            return True
+        if codings:
+            return codings == ["chunked"]
+        # urllib3 ignores a length that it can't read, and the body then ends with the connection.
+        return len(lengths) == 1 and parse_count(lengths.pop()) is not None
 
     def _has_restarted(self, boot_id: str) -> bool:
         return bool(boot_id and self.boot_id and boot_id != self.boot_id)
--- a/tests/test_answer_cut_clients.py
+++ b/tests/test_answer_cut_clients.py
@@ -1,9 +1,11 @@
 """Answers that other HTTP clients than that of a host's requests get cut at every byte."""
 
 import json
+import re
 import unittest
 from http.server import BaseHTTPRequestHandler
 from typing import Any
+from unittest import mock
 
 import urllib3
 from result import Result
@@ -17,6 +19,7 @@
 from catkinhook.platform.engineclient import EngineClient
 from catkinhook.platform.protocolnames import OWN_TABLE
 from catkinhook.platform.storeclient import StoreClient, TableFeed, TableRow
+from catkinhook.requests import attempts, relay
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.hostlist import HttpHostList
 from catkinhook.state.objectstore import HttpObjectStore
@@ -194,9 +197,20 @@
         self.size: int | None = None
         self.cuts_left = 0
         self.last_size = 0
+        self._framing_by_path: dict[str, bytes] = {}
         super().__init__(*args)
 
+    def replace_framing(self, path: str, lines: bytes) -> None:
+        """Close the connection after each answer on a path, whose length is replaced by lines."""
+        self._framing_by_path = {path: lines}
+
     def _respond(self, connection: Any, request: ReceivedRequest) -> None:
+        if request.path in self._framing_by_path:
+            recorder = _Recorder()
+            super()._respond(recorder, request)
+            lines = self._framing_by_path[request.path]
+            connection.sendall(re.sub(rb"Content-Length: \d+\r\n", lambda _: lines, recorder.data))
+            raise Cut
         if self.size is None or not self.cuts_left or not request.path.startswith(self.cut_path):
             super()._respond(connection, request)
             return
@@ -222,6 +236,11 @@
     """Answers of engines and plain services to a gateway."""
 
     def setUp(self) -> None:
+        # The pauses between checks and resumes would take most of the time of these tests.
+        for module, name in ((attempts, "CRASH_CHECK_INTERVAL_S"), (relay, "RESUME_BACKOFF_S")):
+            patch = mock.patch.object(module, name, 0.0)
+            patch.start()
+            self.addCleanup(patch.stop)
         self.engine = CuttingEngine()
         self.plain = CuttingEngine("ledger", "plain")
         self.dispatcher = RetryingDispatcher(retries=0)
@@ -238,6 +257,11 @@
         response = urllib3.request("POST", f"{self.url}/v1/completions", json=fields, retries=False)
         return response.status, response.data
 
+    def read_balance(self) -> tuple[int, str | None]:
+        """Send a request to the plain service; return status and a header."""
+        response = urllib3.request("GET", f"{self.url}/services/ledger/balance", retries=False)
+        return response.status, response.headers.get("Content-Location")
+
     def cut_each(self, engine: CuttingEngine, path: str, call: Any, cuts: int = 1) -> dict:
         """Return what a call returns by the number of bytes that were sent of an answer.
 
@@ -266,6 +290,21 @@
         self.assertFalse(wrong)
         self.check_no_crash()
 
+    def test_answer_of_unknown_length_is_not_whole(self) -> None:
+        """A length that is no number must not hide that an answer ends with its connection."""
+        lengths = ("", "x", "-1", "+2", "1_0", "\u00b2", "9" * 5000, "2, 3")
+        framings = [{"Content-Length": text} for text in lengths]
+        framings += [{"Transfer-Encoding": text} for text in ("", "x", "gzip, chunked")]
+        for headers in framings:
+            for engine, path, call in (
+                (self.engine, "/v1/completions", self.complete),
+                (self.plain, "/balance", self.read_balance),
+            ):
+                with self.subTest(path=path, **headers):
+                    lines = "".join(f"{name}: {text}\r\n" for name, text in headers.items())
+                    engine.replace_framing(path, lines.encode("latin-1"))
+                    self.assertEqual(call()[0], 502)
+
     def test_cut_answer_of_a_plain_service_is_not_whole(self) -> None:
         """The same for an answer whose length comes before its other headers, and is 0."""
         headers = {"Content-Length": "0", "Content-Location": "/balance/17"}
@@ -273,12 +312,8 @@
             (200, headers, b"") if request.path.startswith("/balance") else None
         )
 
-        def read() -> tuple[int, str | None]:
-            response = urllib3.request("GET", f"{self.url}/services/ledger/balance", retries=False)
-            return response.status, response.headers.get("Content-Location")
-
-        self.assertEqual(read()[0], 200)
-        returned = self.cut_each(self.plain, "/balance", read)
+        self.assertEqual(self.read_balance(), (200, "/balance/17"))
+        returned = self.cut_each(self.plain, "/balance", self.read_balance)
         wrong = {size: answer for size, answer in returned.items() if answer[0] != 502}
         self.assertFalse(wrong)
 
