--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -25,6 +25,9 @@
 INTERIM = b"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\n"
 
 
+_numbers = itertools.count()
+
+
 def events(first: int, last: int = LAST, end: bytes = b"\n") -> bytes:
     """Return numbered events with the given line end."""
     return b"".join(b"id: %d%bdata: x%b%b" % (n, end, end, end) for n in range(first, last + 1))
@@ -140,33 +143,49 @@
     return Received(status, rest, is_whole, head)
 
 
-class CutCase(HostCase):
+class _SharedHost(HostCase):
     """Host whose endpoints send given bytes."""
 
     endpoint_class = RawEndpoint
     # The tests repeat more requests than the default budget allows.
     bounds = Bounds(lease_s=1.0, grace_s=4.0, retry_slack=100_000.0)
 
+
+class CutCase(unittest.TestCase):
+    """Tests that share one host, because its start takes longer than most of them."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the host."""
+        # A test case needs the name of a method, which is not run here.
+        cls.host_case = _SharedHost("setUp")
+        cls.addClassCleanup(cls.close_host)
+        cls.host_case.setUp()
+
+    @classmethod
+    def close_host(cls) -> None:
+        """Stop the host, and check that it had no unhandled error."""
+        if not cls.host_case.doCleanups():
+            raise AssertionError("the host had an unhandled error or could not be stopped")
+
     def setUp(self) -> None:
-        super().setUp()
         RawEndpoint.answer_by_path.clear()
         RawEndpoint.ports.clear()
         RawEndpoint.kept_ports.clear()
-        self._numbers = itertools.count()
 
     def receive(
         self, route: str, answer: RawAnswer, method: str = "POST", version: str = "1.1"
     ) -> Received:
         """Send a request, whose first attempt gets the answer, on a new connection."""
         # Requests with an equal path count as repeats of one that crashes endpoints.
-        path = f"/{route}/{next(self._numbers)}"
+        path = f"/{route}/{next(_numbers)}"
         RawEndpoint.answer_by_path[path] = answer
         model = "Model: m1\r\nToken-Usage: 1,3\r\n" if route in ("live", "digest") else ""
         head = (
             f"{method} {path} HTTP/{version}\r\nHost: h.example\r\nConnection: close\r\n"
             f"Attempt-Id: {ID}\r\nDeadline-Ms: 3000\r\n{model}\r\n"
         )
-        host, _, port = self.settings.front_address.rpartition(":")
+        host, _, port = self.host_case.settings.front_address.rpartition(":")
         with socket.create_connection((host, int(port)), WAIT_S) as sock:
             sock.sendall(head.encode())
             return read_answer(sock, method)
