--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -174,7 +174,12 @@
         RawEndpoint.kept_ports.clear()
 
     def receive(
-        self, route: str, answer: RawAnswer, method: str = "POST", version: str = "1.1"
+        self,
+        route: str,
+        answer: RawAnswer,
+        method: str = "POST",
+        version: str = "1.1",
+        connection: str = "close",
     ) -> Received:
         """Send a request, whose first attempt gets the answer, on a new connection."""
         # Requests with an equal path count as repeats of one that crashes endpoints.
@@ -182,7 +187,8 @@
         RawEndpoint.answer_by_path[path] = answer
         model = "Model: m1\r\nToken-Usage: 1,3\r\n" if route in ("live", "digest") else ""
         head = (
-            f"{method} {path} HTTP/{version}\r\nHost: h.example\r\nConnection: close\r\n"
+            f"{method} {path} HTTP/{version}\r\nHost: h.example\r\n"
+            f"Connection: {connection}\r\n"
             f"Attempt-Id: {ID}\r\nDeadline-Ms: 3000\r\n{model}\r\n"
         )
         host, _, port = self.host_case.settings.front_address.rpartition(":")
@@ -344,6 +350,16 @@
                 expected_by_answer[answer] = (200, None, is_complete)
         self.check("digest", expected_by_answer, version="1.0")
 
+    def test_broken_stream_does_not_look_whole_on_a_kept_connection(self) -> None:
+        """A caller that keeps its connection must see that a stream was broken off, too."""
+        head, body = render_answer(events(1), "closing")
+        for version in ("1.0", "1.1"):
+            for size, is_whole in ((len(body), True), (len(body) - 1, False)):
+                answer = RawAnswer(head + body[:size], "close")
+                with self.subTest(version=version, size=size):
+                    received = self.receive("digest", answer, "POST", version, "keep-alive")
+                    self.assertEqual((received.status, received.is_whole), (200, is_whole))
+
     def test_answers_without_a_body_do_not_wait_for_one(self) -> None:
         """Answers to HEAD and those with 204 or 304 end with their head, whatever it announces."""
         for method, status in (("HEAD", 200), ("HEAD", 404), ("GET", 204), ("GET", 304)):
