Refuse an object whose end can't be told from a lost connection

What could be seen: part of a stored object, such as an answer of a deferred request, was taken for the whole when the object store sent it with neither length nor chunks, or with a length that is no number, and stopped.

Cause: without a framing the body ends with its connection, so that any part of an object is one. Objects are bytes, and nothing in them shows that they are cut.

Evidence: test_object_that_may_be_cut_is_not_believed failed before for no framing and for the lengths "" and "x" ("False is not true").

Why the fix works: an object needs a length or chunks, as a gateway's answers do; both use the same check now. The store of this project sends a length.

--- a/catkinhook/httpheads.py
+++ b/catkinhook/httpheads.py
@@ -1,4 +1,4 @@
-"""HTTP responses whose heads must be complete, for all HTTP clients of this project."""
+"""Checks of HTTP answers for completeness, for all HTTP clients of this project."""
 
 import http.client
 from typing import Any, BinaryIO
@@ -6,6 +6,21 @@
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from catkinhook.texts import parse_count
+
+
+def is_delimited(headers: urllib3.HTTPHeaderDict) -> bool:
+    """Return whether a length or chunks mark the end of a body that has these headers.
+
+    Otherwise the body ends with its connection, so that a truncation can't be detected. urllib3
+    ignores a length that it can't read.
+    """
+    codings = [value.strip().lower() for value in headers.getlist("Transfer-Encoding")]
+    lengths = {value.strip() for value in headers.getlist("Content-Length")}
+    if codings:
+        return codings == ["chunked"]
+    return len(lengths) == 1 and parse_count(lengths.pop()) is not None
+
 
 class CheckedResponse(http.client.HTTPResponse):
     """Response that refuses an incomplete head and skips all interim answers.
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -16,11 +16,10 @@
 
 from catkinhook.addresses import split_address
 from catkinhook.errors import EngineError, Ran
-from catkinhook.httpheads import CheckedResponse
+from catkinhook.httpheads import CheckedResponse, is_delimited
 from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.views import EndpointView
-from catkinhook.texts import parse_count
 from catkinhook.units import KIB, MIB
 
 STEP = "attempts"
@@ -563,15 +562,7 @@
     def _has_framed_body(self) -> bool:
         """Return whether a truncation of the body can be detected."""
         response = self._response
-        get_all = response.headers.getlist
-        codings = [value.strip().lower() for value in get_all("Transfer-Encoding")]
-        lengths = {value.strip() for value in get_all("Content-Length")}
-        if response.status in _BODILESS_STATUS:
-            return True
-        if codings:
-            return codings == ["chunked"]
-        # urllib3 ignores a length that it can't read, and the body then ends with the connection.
-        return len(lengths) == 1 and parse_count(lengths.pop()) is not None
+        return response.status in _BODILESS_STATUS or is_delimited(response.headers)
 
     def _has_restarted(self, boot_id: str) -> bool:
         return bool(boot_id and self.boot_id and boot_id != self.boot_id)
--- a/catkinhook/state/objectstore.py
+++ b/catkinhook/state/objectstore.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import Effect, StoreError
-from catkinhook.httpheads import make_pool_manager
+from catkinhook.httpheads import is_delimited, make_pool_manager
 
 
 class ObjectStore(Protocol):
@@ -67,4 +67,7 @@
             return Ok(None)
         if response.status >= 400:
             return Err(StoreError("objects", self._url, f"answered {response.status}", effect))
+        if method == "GET" and not is_delimited(response.headers):
+            reason = "sent an object whose end can't be told from a lost connection"
+            return Err(StoreError("objects", self._url, reason, effect))
         return Ok(response.data)
--- a/tests/test_answer_cut_clients.py
+++ b/tests/test_answer_cut_clients.py
@@ -164,6 +164,24 @@
             with self.subTest(name):
                 self.check(render_answer(body), call)
 
+    def test_object_that_may_be_cut_is_not_believed(self) -> None:
+        """An object that ends with its connection, which any part of it would, must be refused."""
+        objects = HttpObjectStore(self.url, TIMEOUT_S)
+        self.addCleanup(objects.close)
+        for framing in (b"", b"Content-Length:\r\n", b"Content-Length: x\r\n"):
+            with self.subTest(framing=framing):
+                self.server.answer = b"HTTP/1.1 200 X\r\n" + framing + b"\r\nconten"
+                self.assertTrue(objects.get("k").is_err())
+        chunks = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n7\r\ncontent\r\n0\r\n\r\n"
+        for size in range(len(chunks)):
+            self.server.answer = chunks[:size]
+            # Once the size of the last chunk has arrived, the object is whole.
+            is_whole = size > chunks.rindex(b"0")
+            expected = (b"content", None) if is_whole else (None,)
+            self.assertIn(objects.get("k").ok(), expected, chunks[:size])
+        self.server.answer = chunks
+        self.assertEqual(objects.get("k").unwrap(), b"content")
+
     def test_heads_are_checked_with_tls_too(self) -> None:
         """Another scheme must not select connections that believe half a head."""
         for scheme in ("http", "https"):
