--- a/catkinhook/state/objectstore.py
+++ b/catkinhook/state/objectstore.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from catkinhook.errors import Effect, StoreError
+from catkinhook.httpheads import is_delimited, make_pool_manager
 
 
 class ObjectStore(Protocol):
@@ -31,7 +32,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(
+        self._pool = make_pool_manager(
             maxsize=8, retries=False, timeout=urllib3.Timeout(total=timeout)
         )
 
@@ -66,4 +67,7 @@
             return Ok(None)
         if response.status >= 400:
             return Err(StoreError("objects", self._url, f"answered {response.status}", effect))
+        if method == "GET" and not is_delimited(response.headers):
+            reason = "sent an object whose end can't be told from a lost connection"
+            return Err(StoreError("objects", self._url, reason, effect))
         return Ok(response.data)
