Read nothing from a connection that is about to close

Cause: waitress decides what to read before it polls. When one poll returns both the order to close and a request, the order marks the channel, and handle_read then reads the request and received() drops it. The kernel sends an ordinary end of the connection, so the caller can't tell that its request did not run, and one that may not be repeated is lost.

Evidence: test_request_that_crosses_the_close_of_its_connection_is_not_read holds the event loop until both are there.

A channel that became unreadable after the poll is not read now. The bytes stay in the kernel, whose close then resets the connection, and the caller may send the request again.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -106,6 +106,15 @@
     error_task_class = ProblemTask
     parser_class = Parser
 
+    def handle_read(self) -> None:
+        """Read from the connection, unless it became unreadable after the poll.
+
+        waitress would read a request from a connection that is about to close, and drop it. Bytes
+        that stay unread reset the connection, which tells the caller that its request did not run.
+        """
+        if self.readable():
+            super().handle_read()
+
 
 class Server(TcpWSGIServer):
     """waitress server that disconnects callers that stopped reading, and supports draining."""
--- a/tests/test_wsgiserver.py
+++ b/tests/test_wsgiserver.py
@@ -1,10 +1,14 @@
 """Extensions of the waitress server: threads on demand and shutdown."""
 
+import contextlib
 import threading
 import time
 import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from catkinhook.wsgiserver import OnDemandDispatcher, Server, close_sockets
+from tests.stopping_host import Caller, End
 
 WAIT_S = 10.0
 
@@ -42,7 +46,47 @@
 
 
 class CloseTest(unittest.TestCase):
-    """Shutdown of a server's event loop."""
+    """Closing of connections, and shutdown of a server's event loop."""
+
+    def test_request_that_crosses_the_close_of_its_connection_is_not_read(self) -> None:
+        """A request must not be read from a connection that is about to close, and then dropped.
+
+        The caller of a request that the server did not read may send it again; one whose
+        connection ends after the server has read it can't know whether it ran.
+        """
+
+        def answer(environ: dict, start_response: Callable) -> list[bytes]:
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        server = Server(answer, map={}, host="127.0.0.1", port=0, asyncore_use_poll=True)
+        is_waiting, may_poll = threading.Event(), threading.Event()
+        may_poll.set()
+        readable = server.readable
+
+        def wait_before_poll() -> bool:
+            is_waiting.set()
+            may_poll.wait(WAIT_S)
+            return readable()
+
+        server.readable = wait_before_poll
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+        address = f"127.0.0.1:{server.effective_port}"
+        with ThreadPoolExecutor(1) as executor, contextlib.closing(Caller(address)) as caller:
+            self.assertEqual(caller.send("1", "/look/x", 0.0, 1.0).status, 200)
+            may_poll.clear()
+            is_waiting.clear()
+            server.pull_trigger()
+            self.assertTrue(is_waiting.wait(WAIT_S))
+            # The loop finds the request and the order to close in the same poll.
+            request = executor.submit(caller.send, "2", "/look/x", 0.0, 1.0)
+            time.sleep(0.2)
+            server.close_idle()
+            may_poll.set()
+            self.assertEqual(request.result(WAIT_S).end, End.NOT_READ)
+        server.shut_down()
+        thread.join(WAIT_S)
 
     def test_close_while_another_trigger_pull_wakes_the_loop(self) -> None:
         """No "Bad file descriptor" is raised if the loop closes its pipe before the write to it.
