Close the callers' connections before a stopped host exits

Callers saw their connection end without an answer to a request that the host had read, when it arrived in the last milliseconds of a planned stop. No such request had reached an endpoint.

Cause: the host checked that all requests were answered and then called os._exit, while its HTTP server went on reading requests. One read in between got no answer, and the kernel closed its connection without a reset, so the caller could not tell that its request did not run.

Before the exit the server closes its listener, reads no more, and closes each connection once the requests that it had read are answered. That is done by the event loop's thread, between its reads. It takes 0.15 s at most, within KILL_MARGIN_S.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -69,6 +69,10 @@
 # Time between the end of the process and SIGKILL.
 KILL_MARGIN_S = 0.35
 STOP_POLL_S = 0.05
+# Maximum time at the end of a stop for sending answers and closing connections; it must be shorter
+# than ``KILL_MARGIN_S``.
+CLOSE_TIMEOUT_S = 0.15
+CLOSE_POLL_S = 0.005
 
 
 class ApplicationFactory(Protocol):
@@ -306,6 +310,14 @@
             time.sleep(STOP_POLL_S)
         self.log.record("process", outcome="stopped", in_progress=self.state.in_progress)
         self.log.close()
+        self._close_connections()
+
+    def _close_connections(self) -> None:
+        """Close the callers' connections, so that the exit cuts no request that was read."""
+        self.front.server.finish()
+        deadline = time.monotonic() + CLOSE_TIMEOUT_S
+        while not self.front.server.is_finished() and time.monotonic() < deadline:
+            time.sleep(CLOSE_POLL_S)
 
 
 def choose_acquire_delay(cores: float) -> float:
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -100,12 +100,18 @@
 
 
 class Channel(HTTPChannel):
-    """waitress channel with the task and parser classes of this module."""
+    """waitress channel with the task and parser classes of this module, which supports draining."""
 
     task_class = Task
     error_task_class = ProblemTask
     parser_class = Parser
 
+    _is_finishing = False
+
+    def readable(self) -> bool:
+        """Return whether the event loop reads from the connection."""
+        return not self._is_finishing and super().readable()
+
     def handle_read(self) -> None:
         """Read from the connection, unless it became unreadable after the poll.
 
@@ -115,11 +121,28 @@
         if self.readable():
             super().handle_read()
 
+    def service(self) -> None:
+        """Serve the first queued request; called by a thread of the dispatcher."""
+        super().service()
+        if self._is_finishing and not self.requests:
+            self.close_when_flushed = True
+            self.server.pull_trigger()
+
+    def finish(self) -> None:
+        """Read no more, and close the connection when the requests that were read are answered.
+
+        Called by the event loop's thread, so that no request is being read.
+        """
+        self._is_finishing = True
+        if not self.requests:
+            self.close_when_flushed = True
+
 
 class Server(TcpWSGIServer):
     """waitress server that disconnects callers that stopped reading, and supports draining."""
 
     channel_class = Channel
+    _is_finishing = False
 
     def maintenance(self, now: float) -> None:
         """Close idle channels, and those without output progress for ``channel_timeout``."""
@@ -140,6 +163,17 @@
         """Close keep-alive connections without a request in progress."""
         self.trigger.pull_trigger(self._mark_idle)
 
+    def finish(self) -> None:
+        """Close the listening socket, and each connection once its requests are answered.
+
+        Requests that were not read yet are never read, so that the exit of the process cuts none.
+        """
+        self.trigger.pull_trigger(self._finish)
+
+    def is_finished(self) -> bool:
+        """Return whether all connections are closed after ``finish``."""
+        return self._is_finishing and not self.active_channels
+
     def shut_down(self) -> None:
         """Close all channels, end the event loop and stop the threads."""
         close_sockets(self, self._map)
@@ -150,6 +184,12 @@
             if not (channel.requests or channel.request or channel.total_outbufs_len):
                 channel.will_close = True
 
+    def _finish(self) -> None:
+        wasyncore.dispatcher.close(self)
+        for channel in self.active_channels.values():
+            channel.finish()
+        self._is_finishing = True
+
     def _close_listener(self) -> None:
         # Closing the socket resets the connections in its backlog, whose requests may already have
         # been sent, so these are accepted first.
