Answer the requests that are in progress when a stopped host exits

Callers' connections ended without an answer at the end of a planned stop, 0.35 s before grace_s was over. Their requests had been passed on, among them requests that may not be repeated.

Cause: a host accepts requests without regard to their deadlines until 2.5 s after SIGTERM, and those that still ran at the end had nothing to answer them before os._exit.

The event loop of the server writes the answers: 502, which promises nothing, if a thread had begun to serve the request, and 503 if none had. It needs no thread of a request to wake up, so 224 answers take little time on a small machine, and a thread that waits in a connect is no hindrance. Threads and the loop agree under a lock on which of them answers; test_request_that_ends_while_the_process_stops_gets_one_answer guards that. Streams and answers that have begun are left. The log has one line for each request that was answered so. When a host goes unready, how long it accepts requests and when it exits are unchanged.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -92,12 +92,14 @@
 class Platform:
     """Dependencies of a host on the platform that it runs on.
 
+    :ivar request_id_header: header with the id that a caller gave its request.
     :ivar configuration_key: key of the configuration's row.
     :ivar make_front_application: creates the application for callers.
     :ivar make_readiness_application: creates the application for the readiness check and the
         metrics.
     """
 
+    request_id_header: str
     configuration_feed: ChangeFeed
     configuration_key: str
     endpoint_feed: ChangeFeed
@@ -163,6 +165,7 @@
 
     def __init__(self, settings: HostSettings, platform: Platform) -> None:
         self._settings = settings
+        self._request_id_header = platform.request_id_header
         bounds = settings.bounds
         self.incarnation = incarnation = uuid.uuid4().hex[:12]
         origin = f"{settings.node}/{incarnation}"
@@ -308,7 +311,21 @@
             if is_noticed and self.state.close_if_idle() and self.front.server.is_flushed():
                 break
             time.sleep(STOP_POLL_S)
-        self.log.record("process", outcome="stopped", in_progress=self.state.in_progress)
+        in_progress = self.state.in_progress
+        # Before the log is closed, which may take longer than KILL_MARGIN_S.
+        answered = self.front.server.answer_unfinished(CLOSE_TIMEOUT_S)
+        for request in answered:
+            headers = {name.lower(): value for name, value in request.request.header_lines}
+            self.log.record(
+                "request",
+                outcome="ended by the stop",
+                id=headers.get(self._request_id_header.lower(), ""),
+                status=request.status.value,
+                ran=request.ran.value,
+            )
+        self.log.record(
+            "process", outcome="stopped", in_progress=in_progress, answered=len(answered)
+        )
         self.log.close()
         self._close_connections()
 
--- a/catkinhook/platform/assembly.py
+++ b/catkinhook/platform/assembly.py
@@ -29,6 +29,7 @@
         return FrontApplication(get_route_table, forwarder, connections, state, random.Random())
 
     return Platform(
+        request_id_header=protocolnames.REQUEST_ID,
         configuration_feed=TableFeed(store, protocolnames.CONFIG_TABLE),
         configuration_key=protocolnames.CONFIG_KEY,
         endpoint_feed=TableFeed(store, protocolnames.ENDPOINT_TABLE),
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -1,9 +1,12 @@
 """Extensions of waitress: problem documents, back pressure, threads on demand and draining."""
 
 import contextlib
+import threading
+from http import HTTPStatus
 
+import attrs
 from waitress import wasyncore
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
@@ -99,6 +102,35 @@
         self.write(body)
 
 
+@attrs.frozen
+class AnsweredRequest:
+    """A request that the server answers because the process ends.
+
+    :ivar ran: ``NO`` if no thread had begun to serve it.
+    """
+
+    request: Parser
+    ran: Ran
+
+    @property
+    def status(self) -> HTTPStatus:
+        """Status of the answer: 503 promises that the request does not run, 502 does not."""
+        return HTTPStatus.SERVICE_UNAVAILABLE if self.ran is Ran.NO else HTTPStatus.BAD_GATEWAY
+
+    def render(self) -> bytes:
+        """Return the answer, a problem document."""
+        status = self.status
+        reason = "the process ends before the answer is complete"
+        body = render_problem(Refusal("http", "", reason, "stopping", status, self.ran))
+        head = (
+            f"HTTP/{self.request.version} {status.value} {status.phrase}\r\nConnection: close\r\n"
+            f"Content-Type: {PROBLEM_CONTENT_TYPE}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        # A request whose head is malformed has no command.
+        has_body = getattr(self.request, "command", "") != "HEAD"
+        return head.encode() + (body if has_body else b"")
+
+
 class Channel(HTTPChannel):
     """waitress channel with the task and parser classes of this module, which supports draining."""
 
@@ -107,6 +139,15 @@
     parser_class = Parser
 
     _is_finishing = False
+    # Whether the event loop has answered the first request in place of its thread.
+    _is_answered = False
+    # The request that a thread serves, and whether that thread has begun its answer.
+    _running: Parser | None = None
+    _has_begun_answer = False
+
+    def __init__(self, *args: object, **options: object) -> None:
+        super().__init__(*args, **options)
+        self._answer_lock = threading.Lock()
 
     def readable(self) -> bool:
         """Return whether the event loop reads from the connection."""
@@ -123,11 +164,52 @@
 
     def service(self) -> None:
         """Serve the first queued request; called by a thread of the dispatcher."""
+        with self._answer_lock:
+            if self._is_answered:
+                return
+            request = self._running = self.requests[0]
+            self._has_begun_answer = False
         super().service()
+        with self._answer_lock:
+            # Another thread may already serve the next request.
+            if self._running is request:
+                self._running = None
         if self._is_finishing and not self.requests:
             self.close_when_flushed = True
             self.server.pull_trigger()
 
+    def write_soon(self, data: bytes) -> int:
+        """Queue output of the thread that serves a request.
+
+        :raises ClientDisconnected: if the event loop has answered the request.
+        """
+        with self._answer_lock:
+            if self._is_answered:
+                raise ClientDisconnected
+            self._has_begun_answer = self._has_begun_answer or bool(data)
+        return super().write_soon(data)
+
+    def answer_unfinished(self) -> AnsweredRequest | None:
+        """Answer the first request unless its thread has begun to, and close the connection.
+
+        Called by the event loop's thread. It doesn't wait for output of earlier requests.
+
+        :returns: the request and its answer, None if there is none to answer.
+        """
+        # A thread removes its request under the first lock.
+        with self.requests_lock, self._answer_lock:
+            if not self.requests or not self.connected or self.total_outbufs_len:
+                return None
+            request = self.requests[0]
+            is_running = request is self._running
+            if is_running and self._has_begun_answer:
+                return None
+            self._is_answered = True
+        answered = AnsweredRequest(request, Ran.UNKNOWN if is_running else Ran.NO)
+        super().write_soon(answered.render())
+        self.close_when_flushed = True
+        return answered
+
     def finish(self) -> None:
         """Read no more, and close the connection when the requests that were read are answered.
 
@@ -163,6 +245,23 @@
         """Close keep-alive connections without a request in progress."""
         self.trigger.pull_trigger(self._mark_idle)
 
+    def answer_unfinished(self, timeout_s: float) -> list[AnsweredRequest]:
+        """Answer all requests whose answers have not begun, because the process ends.
+
+        :param timeout_s: longest wait for the event loop.
+        """
+        answered: list[AnsweredRequest] = []
+        is_done = threading.Event()
+
+        def answer() -> None:
+            results = [channel.answer_unfinished() for channel in self.active_channels.values()]
+            answered.extend(result for result in results if result is not None)
+            is_done.set()
+
+        self.trigger.pull_trigger(answer)
+        is_done.wait(timeout_s)
+        return answered
+
     def finish(self) -> None:
         """Close the listening socket, and each connection once its requests are answered.
 
--- a/tests/test_host_stop.py
+++ b/tests/test_host_stop.py
@@ -8,7 +8,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
-from tests.hostcase import REQUEST_ID, WAIT_S, HostCase
+from catkinhook.host import MAX_REQUESTS
+from tests.hostcase import REQUEST_ID, WAIT_S, HostCase, wait_until
 from tests.stopping_host import (
     GRACE_S,
     Caller,
@@ -23,7 +24,11 @@
 # Statuses that promise that the request did not run.
 REFUSALS = frozenset({408, 421, 429, 503})
 LOAD_BEFORE_STOP_S = 0.5
-MAX_THREADS = 320
+# Time after SIGTERM within ``ACCEPT_ALL_AFTER_STOP_S``.
+LATE_REQUEST_S = 1.0
+# More than the spare threads of the server.
+MORE_REQUESTS = 40
+MAX_THREADS = MAX_REQUESTS + MORE_REQUESTS
 
 
 class ProcessStopTest(unittest.TestCase):
@@ -90,6 +95,50 @@
         outcomes = self.stop_under_load(6, ("/nothing/x",), (0.0,), (0.3,))
         self.check_outcomes(outcomes, began)
 
+    def test_request_in_progress_at_the_end_of_the_grace_is_answered(self) -> None:
+        """A request that was passed on must not be cut: its caller must hear that it may have run.
+
+        Its deadline may be later than the end of the grace period if it came before SIGTERM or
+        within ``ACCEPT_ALL_AFTER_STOP_S`` after it.
+        """
+        paths = ("/post/x", "/look/x") * 4
+        before = [
+            self.send(number, path, ENDLESS_S, ENDLESS_S) for number, path in enumerate(paths)
+        ]
+        wait_until(lambda: len(self.host.received_ids()) == len(before))
+        began = self.host.request_stop()
+        time.sleep(LATE_REQUEST_S)
+        after = [
+            self.send(number + len(before), path, ENDLESS_S, ENDLESS_S)
+            for number, path in enumerate(paths)
+        ]
+        self.check_stop(began)
+        outcomes = [future.result(WAIT_S) for future in before + after]
+        self.check_outcomes(outcomes, began)
+        self.assertEqual({outcome.status for outcome in outcomes}, {502})
+        self.assertEqual(len(self.host.received_ids()), len(outcomes))
+        for endpoint in self.host.endpoints:
+            self.assertEqual(len(endpoint.received_ids), len(set(endpoint.received_ids)))
+        logged = {line["id"] for line in self.host.process.lines if line.get("status") == 502}
+        self.assertEqual(logged, self.host.received_ids())
+
+    def test_more_requests_than_threads_at_the_end_of_the_grace_are_answered(self) -> None:
+        """No request may be cut while it waits for a thread, or because others are answered."""
+        busy = [
+            self.send(number, "/post/x", ENDLESS_S, ENDLESS_S) for number in range(MAX_REQUESTS)
+        ]
+        wait_until(lambda: len(self.host.received_ids()) == MAX_REQUESTS)
+        more = [
+            self.send(MAX_REQUESTS + number, "/post/x", 0.0, ENDLESS_S)
+            for number in range(MORE_REQUESTS)
+        ]
+        began = self.host.request_stop()
+        self.check_stop(began)
+        outcomes = [future.result(WAIT_S) for future in busy + more]
+        self.check_outcomes(outcomes, began)
+        statuses = [outcome.status for outcome in outcomes]
+        self.assertEqual(statuses, [502] * MAX_REQUESTS + [503] * MORE_REQUESTS)
+
 
 class StoppedHostTest(HostCase):
     """A host in this process after ``Host.stop``, which the end of the process follows."""
--- a/tests/test_wsgiserver.py
+++ b/tests/test_wsgiserver.py
@@ -1,6 +1,9 @@
 """Extensions of the waitress server: threads on demand and shutdown."""
 
 import contextlib
+import random
+import re
+import socket
 import threading
 import time
 import unittest
@@ -11,6 +14,23 @@
 from tests.stopping_host import Caller, End
 
 WAIT_S = 10.0
+CALLERS = 40
+
+
+def split_answers(data: bytes) -> list[int]:
+    """Return the statuses of the answers on one connection.
+
+    :raises AssertionError: if there are other bytes, or an answer is incomplete.
+    """
+    statuses = []
+    while data:
+        head, separator, data = data.partition(b"\r\n\r\n")
+        assert separator and head.startswith(b"HTTP/1.1 "), head
+        length = int(re.search(rb"(?i)content-length: (\d+)", head).group(1))
+        assert len(data) >= length, data
+        statuses.append(int(head[9:12]))
+        data = data[length:]
+    return statuses
 
 
 class Task:
@@ -88,6 +108,53 @@
         server.shut_down()
         thread.join(WAIT_S)
 
+    def test_request_that_ends_while_the_process_stops_gets_one_answer(self) -> None:
+        """A caller must not get two answers, nor bytes after its answer, when both are ready."""
+        rng = random.Random(7)
+        works_s = [rng.uniform(0.0, 0.2) for _ in range(CALLERS)]
+
+        def answer(environ: dict, start_response: Callable) -> list[bytes]:
+            time.sleep(float(environ["PATH_INFO"][1:]))
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        server = Server(
+            answer,
+            map={},
+            host="127.0.0.1",
+            port=0,
+            dispatcher=OnDemandDispatcher(CALLERS - 4),
+            asyncore_use_poll=True,
+            channel_request_lookahead=1,
+        )
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+
+        def exchange(number: int) -> bytes:
+            with socket.create_connection(("127.0.0.1", int(server.effective_port))) as connection:
+                connection.settimeout(WAIT_S)
+                request = f"GET /{works_s[number]} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+                connection.sendall(request * (1 + number % 2))
+                data = b""
+                while part := connection.recv(65536):
+                    data += part
+                return data
+
+        with ThreadPoolExecutor(CALLERS) as executor:
+            results = [executor.submit(exchange, number) for number in range(CALLERS)]
+            time.sleep(0.1)
+            answered = server.answer_unfinished(WAIT_S)
+            server.finish()
+            answers = [split_answers(result.result(WAIT_S)) for result in results]
+        server.shut_down()
+        thread.join(WAIT_S)
+        statuses = [status for statuses in answers for status in statuses]
+        self.assertEqual(len(answered), statuses.count(502) + statuses.count(503))
+        self.assertGreater(statuses.count(200), 0)
+        self.assertGreater(statuses.count(502), 0)
+        for number, found in enumerate(answers):
+            self.assertIn(len(found), range(1, 2 + number % 2))
+
     def test_close_while_another_trigger_pull_wakes_the_loop(self) -> None:
         """No "Bad file descriptor" is raised if the loop closes its pipe before the write to it.
 
