--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -69,8 +69,8 @@
 # Time between the end of the process and SIGKILL.
 KILL_MARGIN_S = 0.35
 STOP_POLL_S = 0.05
-# Maximum time at the end of a stop for sending answers and closing connections; it must be shorter
-# than ``KILL_MARGIN_S``.
+# Maximum time at the end of a stop for answering requests, and again for closing connections. Both
+# must fit into ``KILL_MARGIN_S``.
 CLOSE_TIMEOUT_S = 0.15
 CLOSE_POLL_S = 0.005
 
