Let the engines of a test refuse orders from the start

test_attempts_in_progress_are_cancelled failed once in a run of eight modules: the holder had loaded the model that only the slow engine was to have before the test told the others to refuse orders, so the request went there. The engines of this module now refuse orders from their start; the checks are unchanged.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -27,6 +27,8 @@
 class FragileEngine(FakeEndpoint):
     """Engine that ends when it starts to answer a prompt with the deadly part.
 
+    It refuses orders, so that the holder doesn't load a model that only one engine is to have.
+
     :ivar survives: whether it only breaks off such answers and accepts connections again.
     :ivar is_framed: whether such answers are sent in chunks, or else end with their connection.
     :ivar failure_status: status of answers to such prompts in place of a crash, 0 for none.
@@ -36,6 +38,10 @@
     is_framed = True
     failure_status = 0
 
+    def __init__(self, endpoint: str, models: tuple[str, ...] = ()) -> None:
+        super().__init__(endpoint, models)
+        self.order_status = 409
+
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         if DEADLY not in request.headers.get("Prompt-Prefix", ""):
             super()._handle_request(request)
@@ -153,9 +159,6 @@
 
     def test_attempts_in_progress_are_cancelled(self) -> None:
         """Guards against engines that crash under requests that were sent before the quarantine."""
-        for engine in self.engines:
-            # The request below must not wait for its model to be loaded there.
-            engine.order_status = 409
         slow = FragileEngine("i-slow", ("m3",))
         slow.head_pause_s = WAIT_S
         slow.start()
