Count and log whole requests whose connection ends without a complete answer

The logs could not tell whether the HTTP server drops a request before the application sees it, or the application ends its answer: nothing counted such connections, and waitress drops each OSError of an application silently. catkinhook_unanswered_requests_total has the reason as its label, and an `unanswered` line has the caller's id, the target, the age and the exception, unless the caller left.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -7,7 +7,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import attrs
@@ -44,7 +44,7 @@
 from catkinhook.stateactor import StateActor
 from catkinhook.thrift_hosts import Host as HostInterface
 from catkinhook.units import KIB, MIB
-from catkinhook.wsgiserver import OnDemandDispatcher, Server
+from catkinhook.wsgiserver import CALLER_CLOSED, OnDemandDispatcher, Server, UnansweredRequest
 
 # Maximum number of requests in progress on one host; each occupies a thread.
 MAX_REQUESTS = 224
@@ -89,6 +89,7 @@
     """Dependencies of a host on the platform that it runs on.
 
     :ivar configuration_key: key of the configuration's row.
+    :ivar find_request_id: returns the caller's id of a request with these headers, empty for none.
     :ivar make_front_application: creates the application for callers.
     :ivar make_readiness_application: creates the application for the readiness check and the
         metrics.
@@ -101,6 +102,7 @@
     engines: SequencedEngineClient
     decode_configuration: Callable[[bytes], Result[RouteTable, str]]
     decode_endpoint: Callable[[str, bytes], Result[EndpointView, str]]
+    find_request_id: Callable[[Iterable[tuple[str, str]]], str]
     make_front_application: ApplicationFactory
     make_readiness_application: Callable[[HostState, Callable[[], bytes]], Callable]
 
@@ -111,13 +113,24 @@
 
 
 class WebListener:
-    """Service that runs a waitress server in a thread."""
+    """Service that runs a waitress server in a thread.
 
-    def __init__(self, application: Callable, address: str, threads: int, name: str) -> None:
+    :param on_unanswered: called for each whole request that gets no complete answer.
+    """
+
+    def __init__(
+        self,
+        application: Callable,
+        address: str,
+        threads: int,
+        name: str,
+        on_unanswered: Callable[[UnansweredRequest], None] | None = None,
+    ) -> None:
         self._application = application
         self._address = address
         self._threads = threads
         self._name = name
+        self._on_unanswered = on_unanswered
 
     def start(self) -> None:
         """Bind the address and start to serve."""
@@ -141,6 +154,8 @@
             send_bytes=1,
             ident="catkinhook",
         )
+        if self._on_unanswered is not None:
+            self.server.on_unanswered = self._on_unanswered
         self._thread = threading.Thread(target=self.server.run, name=self._name, daemon=True)
         self._thread.start()
 
@@ -244,7 +259,10 @@
             lambda: self.configuration.table, forwarder, connections, self.state
         )
         threads = MAX_REQUESTS + SPARE_THREADS
-        self.front = WebListener(front, settings.front_address, threads, "front")
+        self._find_request_id = platform.find_request_id
+        self.front = WebListener(
+            front, settings.front_address, threads, "front", self._record_unanswered
+        )
         ready = platform.make_readiness_application(self.state, self._render_metrics)
         self.kernel = Kernel()
         for name, service in (
@@ -290,6 +308,19 @@
         self.metrics.in_progress.set(self.state.in_progress)
         return self.metrics.render()
 
+    def _record_unanswered(self, unanswered: UnansweredRequest) -> None:
+        self.metrics.unanswered.labels(unanswered.why).inc()
+        # Callers often leave, and then the line of the request says so.
+        if unanswered.why != CALLER_CLOSED:
+            self.log.record(
+                "unanswered",
+                outcome=unanswered.why,
+                id=self._find_request_id(unanswered.header_lines),
+                target=unanswered.target,
+                age_s=round(unanswered.age_s, 3),
+                reason=unanswered.reason,
+            )
+
     def stop(self) -> None:
         """Mark the host as stopping and wait for requests in progress, up to the grace period."""
         began = time.monotonic()
--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -21,6 +21,12 @@
         self.failed_attempts = Counter(
             "failed_attempts", "Attempts that failed, by outcome.", ("service", "outcome"), **common
         )
+        self.unanswered = Counter(
+            "unanswered_requests",
+            "Whole requests whose connection ended without a complete answer.",
+            ("why",),
+            **common,
+        )
         self.duration = Histogram(
             "request_seconds",
             "Time to the end of the answer.",
--- a/catkinhook/platform/assembly.py
+++ b/catkinhook/platform/assembly.py
@@ -8,7 +8,11 @@
 from catkinhook.hoststate import HostState
 from catkinhook.platform import protocolnames
 from catkinhook.platform.engineclient import EngineClient
-from catkinhook.platform.front import FrontApplication, ReadinessApplication
+from catkinhook.platform.front import (
+    FrontApplication,
+    ReadinessApplication,
+    find_request_id,
+)
 from catkinhook.platform.records import decode_configuration, decode_endpoint
 from catkinhook.platform.storeclient import StoreClient, TableFeed, TableRow
 from catkinhook.requests.attempts import ConnectionPool
@@ -36,6 +40,7 @@
         engines=EngineClient(),
         decode_configuration=decode_configuration,
         decode_endpoint=decode_endpoint,
+        find_request_id=find_request_id,
         make_front_application=make_front_application,
         make_readiness_application=ReadinessApplication,
     )
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -206,6 +206,12 @@
         return [body]
 
 
+def find_request_id(headers: Iterable[tuple[str, str]]) -> str:
+    """Return the caller's id of a request, empty if it has none."""
+    name = protocolnames.REQUEST_ID.lower()
+    return next((value for key, value in headers if key.lower() == name), "")
+
+
 def _parse_request(environ: dict, arrived: float) -> _InboundRequest:
     parsed = environ[PARSED_REQUEST]
     lines = parsed.header_lines
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -1,7 +1,10 @@
 """Extensions of waitress: problem documents, back pressure, threads on demand and draining."""
 
 import contextlib
+import time
+from collections.abc import Callable
 
+import attrs
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
@@ -20,13 +23,54 @@
 MAX_BACKLOG_BYTES = 64 * KIB
 
 
+@attrs.frozen(kw_only=True)
+class UnansweredRequest:
+    """A whole request whose connection ends without a complete answer.
+
+    :ivar why: what ended it, one of the constants ``CALLER_CLOSED`` to ``UNHANDLED``.
+    :ivar reason: the exception, empty if there was none.
+    :ivar header_lines: headers as received.
+    :ivar age_s: seconds since its last byte was read.
+    """
+
+    why: str
+    reason: str
+    target: str
+    header_lines: tuple[tuple[str, str], ...]
+    age_s: float
+
+
+# Reasons in ``UnansweredRequest``. The caller closed its connection.
+CALLER_CLOSED = "caller closed"
+# An exception in the event loop closed the connection.
+LOOP_ERROR = "event loop"
+# The host closed the connection while the request was queued or running.
+HOST_CLOSED = "host closed"
+# The application raised an exception or returned too few bytes.
+APPLICATION = "application"
+# The application raised an exception before its answer began, which waitress answers with 500.
+UNHANDLED = "unhandled error"
+# The request was sent behind one whose answer ends the connection.
+EARLIER_ANSWER = "earlier answer"
+
+
 class Parser(HTTPRequestParser):
     """Parser that keeps the original header lines; the WSGI environment renames and joins them.
 
     :ivar header_lines: name and value of each header as received.
+    :ivar completed_at: time at which the request was whole.
     """
 
     header_lines: tuple[tuple[str, str], ...] = ()
+    request_uri = ""
+    completed_at = 0.0
+
+    def received(self, data: bytes) -> int:
+        """Parse the next bytes and return how many belong to this request."""
+        count = super().received(data)
+        if self.completed:
+            self.completed_at = time.monotonic()
+        return count
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the request line and headers.
@@ -71,7 +115,49 @@
 
 
 class Task(WSGITask):
-    """WSGI task that adds ``OUTPUT_BACKLOGGED`` and ``PARSED_REQUEST`` to the environment."""
+    """WSGI task that adds ``OUTPUT_BACKLOGGED`` and ``PARSED_REQUEST`` to the environment.
+
+    It reports an answer that is not complete; waitress drops each ``OSError`` silently.
+    """
+
+    def service(self) -> None:
+        """Run the application and write its answer."""
+        self._error: Exception | None = None
+        self._is_finished = False
+        try:
+            super().service()
+        finally:
+            if not self._is_complete():
+                reason = "" if self._error is None else repr(self._error)
+                self.channel.report_unanswered(self.request, self._find_why(), reason)
+
+    def execute(self) -> None:
+        """Run the application and keep its exception."""
+        try:
+            super().execute()
+        except Exception as error:
+            self._error = error
+            raise
+
+    def finish(self) -> None:
+        """Write the end of the answer."""
+        super().finish()
+        self._is_finished = True
+
+    def _find_why(self) -> str:
+        if not self.channel.connected:
+            return HOST_CLOSED if self.channel.will_close else CALLER_CLOSED
+        is_answered = self._error and not self.wrote_header and not isinstance(self._error, OSError)
+        return UNHANDLED if is_answered else APPLICATION
+
+    def _is_complete(self) -> bool:
+        is_short = (
+            self.content_length is not None
+            and self.has_body
+            and self.content_bytes_written < self.content_length
+            and self.request.command != "HEAD"
+        )
+        return self._is_finished and not is_short
 
     def get_environment(self) -> dict:
         """Return the WSGI environment."""
@@ -106,11 +192,64 @@
     error_task_class = ProblemTask
     parser_class = Parser
 
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        self._has_loop_error = False
+        self._is_serving = False
+        super().__init__(*args, **kwargs)
+
+    def service(self) -> None:
+        """Answer the first request; report those behind it if its answer ends the connection."""
+        self._is_serving = True
+        requests = self.requests
+        try:
+            super().service()
+        finally:
+            self._is_serving = False
+        # waitress replaces the list when it drops the requests behind the first one.
+        if self.requests is not requests:
+            for request in requests[1:]:
+                self.report_unanswered(request, EARLIER_ANSWER)
+
+    def handle_error(self) -> None:
+        """Close the connection after an exception in the event loop."""
+        self._has_loop_error = True
+        super().handle_error()
+
+    def handle_close(self) -> None:
+        """Close the connection, and report its requests if no thread serves them."""
+        if self.connected and not self._is_serving:
+            why = HOST_CLOSED if self.will_close else CALLER_CLOSED
+            for request in list(self.requests):
+                self.report_unanswered(request, LOOP_ERROR if self._has_loop_error else why)
+        super().handle_close()
+
+    def report_unanswered(self, request: Parser, why: str, reason: str = "") -> None:
+        """Report a request that gets no complete answer."""
+        age_s = time.monotonic() - request.completed_at
+        self.server.on_unanswered(
+            UnansweredRequest(
+                why=why,
+                reason=reason,
+                target=request.request_uri,
+                header_lines=request.header_lines,
+                age_s=age_s,
+            )
+        )
+
+
+def _ignore(unanswered: UnansweredRequest) -> None:
+    pass
+
 
 class Server(TcpWSGIServer):
-    """waitress server that disconnects callers that stopped reading, and supports draining."""
+    """waitress server that disconnects callers that stopped reading, and supports draining.
+
+    :ivar on_unanswered: called for each whole request that gets no complete answer, by the thread
+        of the event loop or of the request; must not raise.
+    """
 
     channel_class = Channel
+    on_unanswered: Callable[[UnansweredRequest], None] = staticmethod(_ignore)
 
     def maintenance(self, now: float) -> None:
         """Close idle channels, and those without output progress for ``channel_timeout``."""
--- /dev/null
+++ b/tests/test_connection_ends.py
@@ -0,0 +1,110 @@
+"""Whole requests are answered however their connection ends, or are counted and logged."""
+
+import http.client
+import socket
+from unittest import mock
+
+from catkinhook.wsgiserver import (
+    APPLICATION,
+    CALLER_CLOSED,
+    EARLIER_ANSWER,
+    LOOP_ERROR,
+    UNHANDLED,
+)
+from tests.hostcase import REQUEST_ID, WAIT_S, HostCase, wait_until
+
+HEADERS = f"Host: h.example\r\nAttempt-Id: {REQUEST_ID}\r\nDeadline-Ms: 3000\r\n"
+
+
+class ConnectionCase(HostCase):
+    """A host and callers that write their requests byte by byte."""
+
+    def connect(self) -> socket.socket:
+        """Open a connection to the host."""
+        host, _, port = self.settings.front_address.partition(":")
+        sock = socket.create_connection((host, int(port)), timeout=WAIT_S)
+        self.addCleanup(sock.close)
+        return sock
+
+    def exchange(self, request: str) -> tuple[int, bytes]:
+        """Send a request as given and return the status and body; 0 if there is no answer."""
+        sock = self.connect()
+        sock.sendall(request.encode("latin-1"))
+        return read_answer(sock)
+
+    def count_unanswered(self, why: str) -> float:
+        """Return how many requests the host counts as not answered, for one reason."""
+        name, labels = "catkinhook_unanswered_requests_total", {"why": why}
+        return self.host.metrics.registry.get_sample_value(name, labels) or 0.0
+
+    def check_nothing_is_held(self) -> None:
+        """Check that requests that ended hold neither a slot of the host nor one of an endpoint."""
+        wait_until(lambda: self.host.state.in_progress == 0)
+        scheduler = self.host._scheduler
+        wait_until(lambda: sum(scheduler.ask(lambda s: s.count_running()).values()) == 0)
+
+
+def read_answer(sock: socket.socket) -> tuple[int, bytes]:
+    """Return the status and body of one answer, 0 and nothing if the connection ends without it."""
+    response = http.client.HTTPResponse(sock)
+    try:
+        response.begin()
+        return response.status, response.read()
+    except (http.client.HTTPException, OSError):
+        return 0, b""
+
+
+class CounterTest(ConnectionCase):
+    """The host counts the whole requests that get no complete answer."""
+
+    def test_error_in_the_event_loop_is_counted(self) -> None:
+        """A request that an error in the event loop ends must not vanish without a trace."""
+        with mock.patch.object(self.host.front.server, "add_task", side_effect=RuntimeError):
+            self.assertEqual(self.exchange(f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n"), (0, b""))
+        self.assertEqual(self.count_unanswered(LOOP_ERROR), 1)
+
+    def test_cut_answer_is_counted(self) -> None:
+        """An answer that breaks off must not look like one that is complete."""
+        self.engines[1].stop_after = 2
+        request = f"POST /digest/x HTTP/1.1\r\n{HEADERS}Model: m2\r\nContent-Length: 0\r\n\r\n"
+        self.exchange(request)
+        wait_until(lambda: self.count_unanswered(APPLICATION) == 1)
+        self.check_nothing_is_held()
+
+    def test_caller_that_leaves_is_counted_apart(self) -> None:
+        """Callers that leave must not hide requests that the host drops."""
+        self.plain_endpoints[0].head_pause_s = self.plain_endpoints[1].head_pause_s = 1.0
+        sock = self.connect()
+        sock.sendall(f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n".encode())
+        wait_until(lambda: bool(self.received_requests(self.plain_endpoints)))
+        sock.close()
+        wait_until(lambda: self.count_unanswered(CALLER_CLOSED) == 1)
+        self.check_nothing_is_held()
+
+    def test_request_behind_the_last_answer_is_counted(self) -> None:
+        """A request sent behind one whose answer ends the connection is not run, and counted."""
+        self.engines[1].gap_s = 0.05
+        stream = f"POST /live/x HTTP/1.1\r\n{HEADERS}Model: m2\r\nContent-Length: 0\r\n\r\n"
+        status, body = self.exchange(f"{stream}GET /look/x HTTP/1.1\r\n{HEADERS}\r\n")
+        self.assertEqual((status, body.count(b"id:")), (200, 5))
+        wait_until(lambda: self.count_unanswered(EARLIER_ANSWER) == 1)
+        self.assertEqual(self.received_requests(self.plain_endpoints), [])
+
+    def test_answered_requests_are_not_counted(self) -> None:
+        """The counter must stay at 0 while callers get complete answers."""
+        connection = http.client.HTTPConnection(self.settings.front_address, timeout=WAIT_S)
+        self.addCleanup(connection.close)
+        headers = {"Host": "h.example", "Attempt-Id": REQUEST_ID, "Deadline-Ms": "3000"}
+        for method, path in (("GET", "/look/x"), ("POST", "/post/x"), ("GET", "/none/x")):
+            connection.request(method, path, None, headers)
+            connection.getresponse().read()
+        self.send_request("POST", "/live/x", Model="m1")
+        self.check_nothing_is_held()
+        for why in (APPLICATION, CALLER_CLOSED, EARLIER_ANSWER, LOOP_ERROR, UNHANDLED):
+            self.assertEqual(self.count_unanswered(why), 0, why)
+
+
+if __name__ == "__main__":
+    import unittest
+
+    unittest.main()
