--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -1,7 +1,6 @@
 """Whole requests are answered however their connection ends, or are counted and logged."""
 
 import http.client
-import socket
 from unittest import mock
 
 from catkinhook.wsgiserver import (
@@ -11,47 +10,8 @@
     LOOP_ERROR,
     UNHANDLED,
 )
-from tests.hostcase import REQUEST_ID, WAIT_S, HostCase, wait_until
-
-HEADERS = f"Host: h.example\r\nAttempt-Id: {REQUEST_ID}\r\nDeadline-Ms: 3000\r\n"
-
-
-class ConnectionCase(HostCase):
-    """A host and callers that write their requests byte by byte."""
-
-    def connect(self) -> socket.socket:
-        """Open a connection to the host."""
-        host, _, port = self.settings.front_address.partition(":")
-        sock = socket.create_connection((host, int(port)), timeout=WAIT_S)
-        self.addCleanup(sock.close)
-        return sock
-
-    def exchange(self, request: str) -> tuple[int, bytes]:
-        """Send a request as given and return the status and body; 0 if there is no answer."""
-        sock = self.connect()
-        sock.sendall(request.encode("latin-1"))
-        return read_answer(sock)
-
-    def count_unanswered(self, why: str) -> float:
-        """Return how many requests the host counts as not answered, for one reason."""
-        name, labels = "catkinhook_unanswered_requests_total", {"why": why}
-        return self.host.metrics.registry.get_sample_value(name, labels) or 0.0
-
-    def check_nothing_is_held(self) -> None:
-        """Check that requests that ended hold neither a slot of the host nor one of an endpoint."""
-        wait_until(lambda: self.host.state.in_progress == 0)
-        scheduler = self.host._scheduler
-        wait_until(lambda: sum(scheduler.ask(lambda s: s.count_running()).values()) == 0)
-
-
-def read_answer(sock: socket.socket) -> tuple[int, bytes]:
-    """Return the status and body of one answer, 0 and nothing if the connection ends without it."""
-    response = http.client.HTTPResponse(sock)
-    try:
-        response.begin()
-        return response.status, response.read()
-    except (http.client.HTTPException, OSError):
-        return 0, b""
+from tests.connectioncase import HEADERS, ConnectionCase
+from tests.hostcase import REQUEST_ID, WAIT_S, wait_until
 
 
 class CounterTest(ConnectionCase):
@@ -74,10 +34,10 @@
     def test_caller_that_leaves_is_counted_apart(self) -> None:
         """Callers that leave must not hide requests that the host drops."""
         self.plain_endpoints[0].head_pause_s = self.plain_endpoints[1].head_pause_s = 1.0
-        sock = self.connect()
-        sock.sendall(f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n".encode())
+        caller = self.connect()
+        caller.send(f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n")
         wait_until(lambda: bool(self.received_requests(self.plain_endpoints)))
-        sock.close()
+        caller.close()
         wait_until(lambda: self.count_unanswered(CALLER_CLOSED) == 1)
         self.check_nothing_is_held()
 
