Let requests wait for a thread when no further one can be started

Callers saw: a whole request, and the connection closed without an answer; behind another request on the same connection, neither an answer nor an end.

Cause: OnDemandDispatcher starts a thread before it queues the task. If the start fails ("can't start new thread", when the host is at a limit of memory or threads), the exception ends in the event loop, which closes the connection, or in the thread of the request before, and the task is in no queue. The thread that failed to start was also counted as a running one for ever.

Evidence: three tests with start_new_thread failing; before, "[200, 0, 200, 0] != [200, 200, 200, 200]" (0 is a connection closed without an answer), "[200, 0, 0] != [200, 200, 200]", and the error itself. All pass now.

Why it works: a failed start is taken back from the counts and the task is queued, so a thread that becomes free takes it. Only without any thread does the error go on.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -104,6 +104,23 @@
         self._max_threads = max_threads
         self.set_thread_count(1)
 
+    def start_new_thread(self, target: Callable, thread_no: int) -> None:
+        """Start a thread; if that fails, the tasks wait for the threads that run.
+
+        An exception would leave the task out of the queue, and its connection would be closed.
+
+        :raises RuntimeError: if no thread runs.
+        """
+        try:
+            super().start_new_thread(target, thread_no)
+        except (RuntimeError, MemoryError) as error:
+            # The caller, which holds the lock, has counted the thread, and counts it as busy next.
+            self.threads.discard(thread_no)
+            self.active_count -= 1
+            if not self.threads:
+                raise
+            self.logger.warning("no thread was started: %r", error)
+
     def add_task(self, task: HTTPChannel) -> None:
         """Queue a task, and start a thread if none is idle."""
         with self.lock:
