Answer requests that expect 100 and have no body

Callers saw: no answer to a whole request with "Expect: 100-continue" and no body, or a length of 0; the connection stayed open until they gave up.

Cause: waitress marks a request as incomplete when it sends 100, also one that is complete.

Evidence: the test got no answer in 3 s before ("0 != 200") and 200 now; a body sent with or after the head is read as before.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -227,6 +227,13 @@
             for request in requests[1:]:
                 self.report_unanswered(request, EARLIER_ANSWER)
 
+    def send_continue(self) -> None:
+        """Ask for the body of a request; one without a body, or a refused one, stays complete."""
+        request = self.request
+        is_complete = request.completed
+        super().send_continue()
+        request.completed = is_complete
+
     def handle_error(self) -> None:
         """Close the connection after an exception in the event loop."""
         self._has_loop_error = True
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -13,6 +13,32 @@
 KEPT = 4
 
 
+class OddRequestsTest(ConnectionCase):
+    """A host beside callers and endpoints that send odd but whole messages."""
+
+    def test_expectation_without_a_body_is_answered(self) -> None:
+        """A request that expects 100 and has no body must be answered, not awaited for ever."""
+        for length in ("", "Content-Length: 0\r\n"):
+            caller = self.connect()
+            caller.sock.settimeout(3.0)
+            request = f"POST /post/x HTTP/1.1\r\n{HEADERS}{length}Expect: 100-continue\r\n\r\n"
+            caller.send(request)
+            self.assertEqual(caller.read_answer()[0], 200)
+
+    def test_expectation_with_a_body_is_answered(self) -> None:
+        """A body that is sent after 100, or together with the headers, must be read."""
+        for is_early in (True, False):
+            caller = self.connect()
+            head = (
+                f"POST /post/x HTTP/1.1\r\n{HEADERS}Content-Length: 2\r\nExpect: 100-continue\r\n"
+            )
+            caller.send(f"{head}\r\n" + ("ab" if is_early else ""))
+            if not is_early:
+                self.assertIn(b"100 Continue", caller.sock.recv(100))
+                caller.send(b"ab")
+            self.assertEqual(caller.read_answer()[0], 200)
+
+
 class NoThreadsTest(ConnectionCase):
     """A host that can't start threads."""
 
