Give back what a request holds after an unexpected error

Callers saw: a 500 for the request itself, or a stream that broke off; later, refusals by a host that seemed full, and a planned stop that waited for its whole grace period.

Cause: only an AttemptError ended an attempt. After any other exception in an attempt the place at the endpoint stayed taken, and after one in start_response also the host's count of requests: the application's handler had ended, and a generator that has not started ignores close.

Evidence: three tests with errors in start_response, while a request is sent, and while a stream is resumed; before, each ended with "the condition did not become true in time" (no place held). All pass now.

The end line of a stream that such an error ends says "fault" instead of "caller left".

--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import sys
 import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -89,8 +90,15 @@
         if isinstance(result, Refusal):
             self._state.end_request()
             return self._refuse(result, start_response)
-        self._start_answer(result, start_response)
-        return _ResponseBody(result, self._state.end_request)
+        body = _ResponseBody(result, self._state.end_request)
+        try:
+            self._start_answer(result, start_response)
+        except Exception as error:
+            body.close()
+            self._state.log_unhandled_error(error)
+            failure = Refusal(STEP, "", "the host failed", "internal", 500, Ran.UNKNOWN)
+            return self._refuse(failure, start_response, sys.exc_info())
+        return body
 
     def _handle(self, environ: dict, arrived: float) -> Reply | Refusal:
         inbound = _parse_request(environ, arrived)
@@ -154,12 +162,14 @@
             headers.append(("Content-Length", str(reply.length)))
         start_response(_status_line(reply.status), headers)
 
-    def _refuse(self, refusal: Refusal, start_response: Callable) -> Iterable[bytes]:
+    def _refuse(
+        self, refusal: Refusal, start_response: Callable, exc_info: tuple | None = None
+    ) -> Iterable[bytes]:
         body = render_problem(refusal)
         headers = [("Content-Type", PROBLEM_CONTENT_TYPE), ("Content-Length", str(len(body)))]
         if refusal.status == 503:
             headers.append((protocolnames.RETRY_AFTER, f"{refusal.retry_after_s:.2f}"))
-        start_response(_status_line(refusal.status), headers)
+        start_response(_status_line(refusal.status), headers, exc_info)
         return [body]
 
 
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -364,9 +364,18 @@
             except AttemptError as error:
                 self._end_failed_attempt(assignment, error)
                 failed = error
+            except Exception:
+                self._drop_attempt(assignment)
+                raise
             if not self._may_retry(failed):
                 return self._make_refusal(failed, "not repeated")
 
+    def _drop_attempt(self, assignment: Assignment) -> None:
+        """End an attempt after an unexpected error, so that its place is free again."""
+        self._upstream.abort()
+        self._answer = None
+        self._forwarder.finish(assignment, Outcome.CANCELLED)
+
     def _wait_for_assignment(self, failed: AttemptError | None) -> Assignment | Refusal:
         started = time.monotonic()
         decision, self._next_assignment = self._next_assignment, None
@@ -511,6 +520,8 @@
         chunks = self._read_events(assignment, answer)
         first = next(chunks, b"")
         body = self._relay_events(assignment, answer, first, chunks)
+        # A generator that has not started ignores ``close``, and the place would stay taken.
+        next(body)
         return Reply(status=answer.status, headers=answer.headers, body=body)
 
     def _read_events(self, assignment: Assignment, answer: UpstreamAnswer) -> Iterator[bytes]:
@@ -567,6 +578,7 @@
         """Yield the events of a stream; if an attempt fails, resume at another endpoint."""
         outcome, reason = "caller left", ""
         try:
+            yield b""
             if first:
                 yield first
             while True:
@@ -589,6 +601,10 @@
             answer.finish()
             self._forwarder.finish(assignment, Outcome.COMPLETED)
             assignment = None
+        except Exception as error:
+            if outcome == "caller left" and not isinstance(error, CallerDisconnectedError):
+                outcome, reason = "fault", repr(error)
+            raise
         finally:
             self._give_back_place()
             self._forwarder.unwatch_caller(self)
@@ -613,6 +629,9 @@
                 self._end_failed_attempt(assignment, resume_error)
                 error = resume_error
                 continue
+            except Exception:
+                self._drop_attempt(assignment)
+                raise
             return assignment, self._answer, reply
 
     def _resume(self, assignment: Assignment) -> Iterator[bytes]:
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -5,7 +5,9 @@
 
 from waitress.task import ThreadedTaskDispatcher
 
-from catkinhook.wsgiserver import OnDemandDispatcher
+from catkinhook.platform.front import FrontApplication
+from catkinhook.requests.attempts import CountingConnection
+from catkinhook.wsgiserver import APPLICATION, OnDemandDispatcher
 from tests.connectioncase import HEADERS, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
 
@@ -39,6 +41,54 @@
             self.assertEqual(caller.read_answer()[0], 200)
 
 
+class UnexpectedErrorTest(ConnectionCase):
+    """A host whose own code fails, or whose scheduler does not answer in time."""
+
+    def check_no_unhandled_error(self) -> None:
+        """These tests cause such errors."""
+
+    def test_answer_that_can_not_be_started_holds_no_place(self) -> None:
+        """An error before the first byte of an answer must end in a 500, and hold no place."""
+        error = ValueError("odd header")
+        with mock.patch.object(FrontApplication, "_start_answer", side_effect=error):
+            answers = [
+                self.send_request("GET", "/look/x")[0],
+                self.send_request("POST", "/live/x", b"p", Model="m1")[0],
+            ]
+        self.assertEqual([answer.status for answer in answers], [500, 500])
+        self.check_nothing_is_held()
+
+    def test_error_while_a_request_is_sent_holds_no_place(self) -> None:
+        """An unexpected error in an attempt must end in a 500, and hold no place."""
+        error = ValueError("odd header")
+        with mock.patch.object(CountingConnection, "send_raw", side_effect=error):
+            answer, _ = self.send_request("GET", "/look/x")
+        self.assertEqual(answer.status, 500)
+        self.check_nothing_is_held()
+
+    def test_error_while_a_stream_is_resumed_holds_no_place(self) -> None:
+        """An unexpected error in a later attempt of a stream must hold no place."""
+        for engine in self.engines:
+            engine.stop_after = 2
+        send, calls = CountingConnection.send_raw, []
+
+        def fail_second(connection: CountingConnection, *args: object) -> None:
+            if "/live/x" in args:
+                calls.append(args)
+                if len(calls) == 2:
+                    raise ValueError("odd header")
+            send(connection, *args)
+
+        request = f"POST /live/x HTTP/1.1\r\n{HEADERS}Model: m1\r\nContent-Length: 0\r\n\r\n"
+        with mock.patch.object(CountingConnection, "send_raw", fail_second):
+            self.exchange(request)
+            wait_until(lambda: self.count_unanswered(APPLICATION) == 1)
+        self.assertEqual(len(calls), 2)
+        self.check_nothing_is_held()
+        name, labels = "catkinhook_decisions_total", {"kind": "request", "outcome": "fault"}
+        self.assertEqual(self.host.metrics.registry.get_sample_value(name, labels), 1)
+
+
 class NoThreadsTest(ConnectionCase):
     """A host that can't start threads."""
 
