Withdraw requests whose scheduler did not answer in time

Callers saw: a 500, though the request had not run; later, refusals by a host whose endpoints seemed full.

Cause: a call of the scheduler's actor that times out is still run later. It then queued the request and took a place at an endpoint for a caller that had its answer.

Evidence: the test stops the actor for longer than the timeout; before, the place stayed taken ("the condition did not become true in time"). It passes now.

Why it works: the withdrawal is queued behind the late call, so it sees what that call has done. The answer is a refusal: 503 if no attempt may have run, else 504.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import attrs
+import pykka
 
 from catkinhook.errors import Ran, Refusal
 from catkinhook.operations.decisionlog import DecisionLog
@@ -163,14 +164,29 @@
 
         request, now = job.request, time.monotonic()
 
+        requested: list[PendingRequest] = []
+
         def submit(scheduler: Scheduler) -> PendingRequest | None:
             if job.attempts_sent == 0:
-                return scheduler.submit(request, on_decision, now)
-            return scheduler.resubmit(
-                request, job.tried_endpoints, job.ran, on_decision, now, job.has_reached_endpoint
-            )
+                pending = scheduler.submit(request, on_decision, now)
+            else:
+                pending = scheduler.resubmit(
+                    request,
+                    job.tried_endpoints,
+                    job.ran,
+                    on_decision,
+                    now,
+                    job.has_reached_endpoint,
+                )
+            if pending is not None:
+                requested.append(pending)
+            return pending
 
-        pending = self._scheduler.ask(submit)
+        try:
+            pending = self._scheduler.ask(submit)
+        except pykka.Timeout:
+            self._withdraw(requested, decisions)
+            return self._make_stuck_refusal(job)
         if pending is None:
             return None
         if not decided.is_set():
@@ -182,7 +198,11 @@
             self._monitor.remove(job.key)
             job.on_disconnect = None
         if not decisions:
-            self._scheduler.ask(lambda scheduler: scheduler.cancel(pending))
+            try:
+                self._scheduler.ask(lambda scheduler: scheduler.cancel(pending))
+            except pykka.Timeout:
+                self._withdraw(requested, decisions)
+                return self._make_stuck_refusal(job)
         # The scheduler may have decided before it ran the cancel.
         if not decisions:
             reason = "no endpoint was free in time"
@@ -190,12 +210,43 @@
             return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
         return decisions[0]
 
+    def _withdraw(self, requested: list[PendingRequest], decisions: list[Decision]) -> None:
+        """Withdraw a request whose scheduler did not answer in time.
+
+        The scheduler runs this after the call that timed out, which may still have taken a place.
+        """
+
+        def withdraw(scheduler: Scheduler) -> None:
+            now = time.monotonic()
+            for pending in requested:
+                scheduler.cancel(pending)
+            for decision in decisions:
+                if isinstance(decision, Assignment):
+                    scheduler.finish(decision.attempt, Outcome.CANCELLED, now)
+
+        self._scheduler.tell(withdraw)
+
+    def _make_stuck_refusal(self, job: "_Job") -> Refusal:
+        status = 503 if job.ran is Ran.NO else 504
+        reason = "the scheduler did not answer in time"
+        return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
+
     def try_move(self, job: "_Job") -> Assignment | None:
         """Assign a request to another endpoint if it can start there at once."""
         now = time.monotonic()
-        return self._scheduler.ask(
-            lambda scheduler: scheduler.try_move(job.request, job.tried_endpoints, now)
-        )
+        moved: list[Assignment] = []
+
+        def move(scheduler: Scheduler) -> Assignment | None:
+            assignment = scheduler.try_move(job.request, job.tried_endpoints, now)
+            if assignment is not None:
+                moved.append(assignment)
+            return assignment
+
+        try:
+            return self._scheduler.ask(move)
+        except pykka.Timeout:
+            self._withdraw([], moved)
+            return None
 
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -3,10 +3,12 @@
 import threading
 from unittest import mock
 
+import pykka
 from waitress.task import ThreadedTaskDispatcher
 
 from catkinhook.platform.front import FrontApplication
 from catkinhook.requests.attempts import CountingConnection
+from catkinhook.stateactor import StateActor
 from catkinhook.wsgiserver import APPLICATION, OnDemandDispatcher
 from tests.connectioncase import HEADERS, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
@@ -47,6 +49,19 @@
     def check_no_unhandled_error(self) -> None:
         """These tests cause such errors."""
 
+    def test_scheduler_that_does_not_answer_holds_no_place(self) -> None:
+        """A request whose scheduler answers too late must be refused, and hold no place later."""
+        release = threading.Event()
+        self.addCleanup(release.set)
+        with mock.patch("catkinhook.stateactor.ASK_TIMEOUT_S", 0.3):
+            self.host._scheduler.tell(lambda _: release.wait(WAIT_S))
+            response, _ = self.send_request("GET", "/look/x")
+        self.assertIn(response.status, (500, 503))
+        release.set()
+        self.check_nothing_is_held()
+        response, _ = self.send_request("GET", "/look/x")
+        self.assertEqual(response.status, 200)
+
     def test_answer_that_can_not_be_started_holds_no_place(self) -> None:
         """An error before the first byte of an answer must end in a 500, and hold no place."""
         error = ValueError("odd header")
@@ -88,6 +103,22 @@
         name, labels = "catkinhook_decisions_total", {"kind": "request", "outcome": "fault"}
         self.assertEqual(self.host.metrics.registry.get_sample_value(name, labels), 1)
 
+    def test_scheduler_that_fails_during_a_retry_holds_no_place(self) -> None:
+        """An error between two attempts must end the request with an answer."""
+        self.plain_endpoints[0].fault = self.plain_endpoints[1].fault = "not-run"
+        ask, calls = StateActor.ask, []
+
+        def fail_second(actor: StateActor, query: object) -> object:
+            calls.append(query)
+            if len(calls) == 2:
+                raise pykka.Timeout("stuck")
+            return ask(actor, query)
+
+        with mock.patch.object(StateActor, "ask", fail_second):
+            response, _ = self.send_request("GET", "/look/x")
+        self.assertIn(response.status, (500, 503))
+        self.check_nothing_is_held()
+
 
 class NoThreadsTest(ConnectionCase):
     """A host that can't start threads."""
