Forward headers of several lines, and leave out the header Trailers

Cause: the second line of a caller's header was taken for a header with an invalid name, and an endpoint's was passed to start_response with its line break. waitress takes Trailers for a header that an application must not set.

Evidence: three tests, which failed before ("the condition did not become true in time": the place stayed taken, and one unhandled error was counted) and pass now.

Why it works: a line break becomes a space, as HTTP/1.1 asks of a proxy.

--- a/catkinhook/platform/protocolnames.py
+++ b/catkinhook/platform/protocolnames.py
@@ -42,6 +42,7 @@
         "proxy-authorization",
         "te",
         "trailer",
+        "trailers",
         "transfer-encoding",
         "upgrade",
         "content-length",
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import http.client
+import re
 import socket
 import time
 from collections.abc import Callable
@@ -47,6 +48,9 @@
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
 _BODILESS = frozenset({204, 304})
 
+# Line break within a header, which becomes a space.
+_FOLD = re.compile(r"[ \t]*\r?\n[ \t]*")
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -240,7 +244,7 @@
         if get("Content-Encoding") is not None:
             raise self._error("sent an encoded answer", fault="encoded")
         self.headers = tuple(
-            (name, value)
+            (name, _FOLD.sub(" ", value))
             for name, value in response.headers.items()
             if name.lower() not in protocolnames.HOP_BY_HOP_HEADERS
         )
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -1,6 +1,7 @@
 """Extensions of waitress: problem documents, back pressure, threads on demand and draining."""
 
 import contextlib
+import re
 import time
 from collections.abc import Callable
 
@@ -22,6 +23,9 @@
 # the thread of its request.
 MAX_BACKLOG_BYTES = 64 * KIB
 
+# Line break within a header, which becomes a space.
+_FOLD = re.compile(r"[ \t]*\r\n[ \t]+")
+
 
 @attrs.frozen(kw_only=True)
 class UnansweredRequest:
@@ -78,7 +82,7 @@
         :raises ParsingError: if they are malformed.
         """
         super().parse_header(header_plus)
-        lines = header_plus.decode("latin-1").split("\r\n")[1:]
+        lines = _FOLD.sub(" ", header_plus.decode("latin-1")).split("\r\n")[1:]
         pairs = (line.partition(":") for line in lines if line)
         self.header_lines = tuple((name, value.strip(" \t")) for name, _, value in pairs)
 
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -12,6 +12,7 @@
 from catkinhook.wsgiserver import APPLICATION, OnDemandDispatcher
 from tests.connectioncase import HEADERS, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
+from tests.platform_fakes import ScriptedAnswer
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 KEPT = 4
@@ -42,6 +43,33 @@
                 caller.send(b"ab")
             self.assertEqual(caller.read_answer()[0], 200)
 
+    def test_folded_header_of_a_caller_is_forwarded(self) -> None:
+        """A header of several lines must not fail its request, nor hold a place afterwards."""
+        status, _ = self.exchange(f"GET /look/x HTTP/1.1\r\n{HEADERS}X-A: b\r\n c: d\r\n\r\n")
+        self.check_nothing_is_held()
+        self.assertEqual(status, 200)
+        values = [r.get("X-A") for r in self.received_requests(self.plain_endpoints)]
+        self.assertEqual(values, ["b c: d"])
+
+    def test_reserved_header_of_an_endpoint_is_left_out(self) -> None:
+        """A header that waitress reserves must not fail its answer, nor hold a place afterwards."""
+        answer = ScriptedAnswer(body=EVENTS, more_headers={"Trailers": "X-A"})
+        for engine in self.engines:
+            engine.scripted_answers.append(answer)
+        response, body = self.send_request("POST", "/live/x", b"p", Model="m1")
+        self.check_nothing_is_held()
+        self.assertEqual((response.status, body), (200, EVENTS))
+
+    def test_folded_header_of_an_endpoint_is_forwarded(self) -> None:
+        """A header of several lines in an answer must not fail it, nor hold a place afterwards."""
+        answer = ScriptedAnswer(body=EVENTS, more_headers={"X-A": "b\r\n c"})
+        for engine in self.engines:
+            engine.scripted_answers.append(answer)
+        response, body = self.send_request("POST", "/live/x", b"p", Model="m1")
+        self.check_nothing_is_held()
+        self.assertEqual((response.status, body), (200, EVENTS))
+        self.assertEqual(response.getheader("X-A"), "b c")
+
 
 class UnexpectedErrorTest(ConnectionCase):
     """A host whose own code fails, or whose scheduler does not answer in time."""
