Do not await a body in the answer to HEAD

Callers saw: 504 at their deadline for each HEAD request, though the endpoint had answered at once.

Cause: the length in an answer to HEAD was read as that of a body that follows.

Evidence: the test got 504 before ("(504, b'') != (200, b'')") and gets 200 now. The fake endpoint now answers HEAD.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -136,6 +136,7 @@
 class EndpointAnswer:
     """An endpoint's answer; used by one thread, except for ``abort``.
 
+    :ivar announced_length: length of an answer to HEAD, None if it has none.
     :ivar probes_peer: whether the kernel probes an endpoint that sends nothing, and closes the
         connection if it is gone.
     :ivar ends_at: time at which an unfinished answer is aborted.
@@ -164,6 +165,8 @@
         self.ends_at = float("inf")
         self.status = 0
         self.headers: Headers = ()
+        self.announced_length: int | None = None
+        self._is_head = False
         self.load: tuple[int, int] | None = None
 
     def send(
@@ -181,6 +184,7 @@
         :param may_leave: called while the endpoint seems silent; returns whether to stop early.
         :raises AttemptError: if this attempt got no valid answer.
         """
+        self._is_head = method == "HEAD"
         limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
         try:
             connection = self._connections.acquire(self._endpoint.address, limits, fresh)
@@ -277,7 +281,11 @@
         get_all = self._response.headers.get_all
         codings = [value.strip().lower() for value in get_all("Transfer-Encoding", [])]
         lengths = {value.strip() for value in get_all("Content-Length", [])}
-        if codings == ["chunked"]:
+        if self._is_head:
+            # Its length is that of the answer to GET; no body follows.
+            self.announced_length = parse_count(lengths.pop()) if len(lengths) == 1 else None
+            self._is_ended = True
+        elif codings == ["chunked"]:
             self._chunks = ChunkDecoder()
         elif codings or len(lengths) > 1:
             raise self._error("sent an answer of ambiguous framing", fault="unframed")
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -51,11 +51,13 @@
 
     :ivar status: HTTP status.
     :ivar headers: headers for the caller.
+    :ivar announced_length: length to announce to the caller instead of the body's, None for none.
     :ivar load: running and waiting requests of the endpoint, None if it did not report them.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    announced_length: int | None
     load: tuple[int, int] | None
 
     def read(self, timeout_s: float, may_leave: Callable[[], bool]) -> bytes:
@@ -563,8 +565,9 @@
         self._forwarder.finish(assignment, outcome)
         self.ran = Ran.YES
         self._forwarder.record_end(self, "answered", answer.status)
+        length = len(body) if answer.announced_length is None else answer.announced_length
         return Reply(
-            status=answer.status, headers=answer.headers, body=iter((body,)), length=len(body)
+            status=answer.status, headers=answer.headers, body=iter((body,)), length=length
         )
 
     def _begin_stream(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -35,7 +35,7 @@
             def do_GET(self) -> None:  # noqa: N802
                 fake.handle(self)
 
-            do_POST = do_GET  # noqa: N815
+            do_HEAD = do_POST = do_GET  # noqa: N815
 
         self._server = _Server(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
@@ -338,6 +338,8 @@
         else:
             request.send_header("Content-Length", str(len(body)))
         request.end_headers()
+        if request.command == "HEAD":
+            return
         if fault == "cut":
             request.wfile.write(body[: len(body) // 2])
             request.close_connection = True
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -70,6 +70,12 @@
         self.assertEqual((response.status, body), (200, EVENTS))
         self.assertEqual(response.getheader("X-A"), "b c")
 
+    def test_answer_without_a_body_to_head_is_forwarded(self) -> None:
+        """An answer to HEAD has a length and no body; it must not be awaited."""
+        response, body = self.send_request("HEAD", "/look/x", Deadline_Ms="1500")
+        self.assertEqual((response.status, body), (200, b""))
+        self.check_nothing_is_held()
+
 
 class UnexpectedErrorTest(ConnectionCase):
     """A host whose own code fails, or whose scheduler does not answer in time."""
