Refuse targets that are no URI instead of closing their connections

Callers saw: a whole request, and the connection closed without an answer, for a target such as "http://[x/"; a 500 for one that begins with two slashes and is not ASCII.

Cause: the parser of waitress raises ValueError for such a target, in the event loop, which closes the connection. Of targets that are not ASCII it refuses only those that begin with one slash; the others failed when they were to be sent on.

Evidence: two tests; before, "0 != 400 : http://[x/" (0 is a connection closed without an answer) and a place that stayed taken. Both pass now.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -8,7 +8,7 @@
 import attrs
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
-from waitress.parser import HTTPRequestParser
+from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
@@ -81,7 +81,14 @@
 
         :raises ParsingError: if they are malformed.
         """
-        super().parse_header(header_plus)
+        try:
+            super().parse_header(header_plus)
+        except ValueError as error:
+            # Raised for targets such as "http://[". In the event loop, it would close the
+            # connection without an answer.
+            raise ParsingError(f"Bad URI: {error}") from error
+        if not self.request_uri.isascii():
+            raise ParsingError("Bad URI: it is not ASCII")
         lines = _FOLD.sub(" ", header_plus.decode("latin-1")).split("\r\n")[1:]
         pairs = (line.partition(":") for line in lines if line)
         self.header_lines = tuple((name, value.strip(" \t")) for name, _, value in pairs)
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -12,7 +12,7 @@
 from catkinhook.wsgiserver import APPLICATION, OnDemandDispatcher
 from tests.connectioncase import HEADERS, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
-from tests.platform_fakes import ScriptedAnswer
+from tests.platform_fakes import ScriptedAnswer, make_configuration
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 KEPT = 4
@@ -21,6 +21,12 @@
 class OddRequestsTest(ConnectionCase):
     """A host beside callers and endpoints that send odd but whole messages."""
 
+    def test_target_that_is_no_uri_is_refused(self) -> None:
+        """An error of the parser must not close the connection without an answer."""
+        for target in ("http://[x/", "http://[::1/look/x", "/look/x"):
+            status, _ = self.exchange(f"GET {target} HTTP/1.1\r\n{HEADERS}\r\n")
+            self.assertEqual(status, 200 if target == "/look/x" else 400, target)
+
     def test_expectation_without_a_body_is_answered(self) -> None:
         """A request that expects 100 and has no body must be answered, not awaited for ever."""
         for length in ("", "Content-Length: 0\r\n"):
@@ -43,6 +49,19 @@
                 caller.send(b"ab")
             self.assertEqual(caller.read_answer()[0], 200)
 
+    def test_target_with_bytes_beyond_ascii_is_refused(self) -> None:
+        """A target that is not ASCII must be refused by all its spellings, and hold no place."""
+        configuration = make_configuration(2)
+        for route in configuration["routes"]:
+            route["path_prefix"] = route["path_prefix"].replace("/look/", "/")
+        self.store.put("op", "config", configuration)
+        wait_until(lambda: self.host.configuration.version == 2)
+        for target in ("/look/\xc3\xa9", "//look/\xc3\xa9"):
+            status, _ = self.exchange(f"GET {target} HTTP/1.1\r\n{HEADERS}\r\n")
+            self.check_nothing_is_held()
+            self.assertEqual(status, 400, target)
+        self.assertEqual(self.received_requests(self.plain_endpoints), [])
+
     def test_folded_header_of_a_caller_is_forwarded(self) -> None:
         """A header of several lines must not fail its request, nor hold a place afterwards."""
         status, _ = self.exchange(f"GET /look/x HTTP/1.1\r\n{HEADERS}X-A: b\r\n c: d\r\n\r\n")
