--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -95,6 +95,39 @@
         self.assertEqual((response.status, body), (200, b""))
         self.check_nothing_is_held()
 
+    def test_request_of_http_1_0_is_answered(self) -> None:
+        """Older callers must get answers too, on kept connections and closed ones."""
+        for connection in ("", "Connection: keep-alive\r\n"):
+            request = f"GET /look/x HTTP/1.0\r\n{HEADERS}{connection}\r\n"
+            caller = self.connect()
+            for _ in range(KEPT if connection else 1):
+                caller.send(request)
+                self.assertEqual(caller.read_answer()[0], 200)
+        stream = f"POST /live/x HTTP/1.0\r\n{HEADERS}Model: m1\r\nContent-Length: 0\r\n\r\n"
+        status, body = self.exchange(stream)
+        self.assertEqual((status, body.count(b"id:")), (200, 5))
+
+    def test_requests_sent_together_are_all_answered(self) -> None:
+        """Requests that are read ahead on a kept connection must each get an answer."""
+        request = f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n".encode()
+        for count in (2, 3, KEPT):
+            caller = self.connect()
+            caller.send(request * count)
+            for _ in range(count):
+                self.assertEqual(caller.read_answer()[0], 200)
+
+    def test_oversized_body_is_refused(self) -> None:
+        """The refusal of a body that is too large must reach a caller that is still sending."""
+        head = f"POST /post/x HTTP/1.1\r\n{HEADERS}Content-Length: {20 << 20}\r\n\r\n"
+        caller = self.connect()
+        caller.send(head)
+        try:
+            for _ in range(200):
+                caller.send(b"x" * 100_000)
+        except OSError:
+            pass
+        self.assertEqual(caller.read_answer()[0], 413)
+
 
 class UnexpectedErrorTest(ConnectionCase):
     """A host whose own code fails, or whose scheduler does not answer in time."""
