Send each retry on a new connection

Callers saw: 502 for requests that may run twice, while all endpoints were sound.

Cause: endpoints may drop idle connections without notice; the next request on one is reset. The retry at the other endpoint took a kept connection too, and with two such resets the request had used its attempts.

Why it works: a new connection can't have been dropped. Retries are few, so the price is too.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -61,7 +61,7 @@
     :param headers: headers to forward, including ``Host``.
     :param is_repeatable: whether the request may run twice. Otherwise it is sent on a new
         connection, because the endpoint may close a keep-alive connection while it is being sent.
-        A request that may run twice uses a new connection when it is sent to an address again.
+        A request that may run twice uses a new connection for each attempt after the first.
     """
 
     def __init__(
@@ -85,7 +85,7 @@
         self._is_repeatable = is_repeatable
         self._answer: EndpointAnswer | None = None
         self._is_aborted = False
-        self._tried_addresses: set[str] = set()
+        self._is_retry = False
 
     def open(
         self,
@@ -118,10 +118,10 @@
         # A request that may run only once can't go on elsewhere, and an endpoint that can't be
         # reached for some seconds may still finish it.
         answer.probes_peer = self._is_repeatable
-        # The id can't tell the answers to two attempts of this request on one connection apart.
-        address = assignment.endpoint.address
-        fresh = not self._is_repeatable or address in self._tried_addresses
-        self._tried_addresses.add(address)
+        # Endpoints may drop idle connections without notice, and a request has few attempts. The id
+        # can't tell the answers to two attempts of this request on one connection apart either.
+        fresh = not self._is_repeatable or self._is_retry
+        self._is_retry = True
         answer.send(self._method, self._target, headers, self._body, timeout_s, fresh, may_leave)
         return answer
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -222,6 +222,7 @@
         ``endless-report``, ``endless-report-head`` (of any request).
     :ivar endless_sent: bytes sent of endless responses.
     :ivar endless_open: endless responses whose connection is still open.
+    :ivar forgets_connections: whether each connection ends with its second request, unanswered.
     :ivar events: number of events in a stream.
     :ivar gap_s: pause after each event.
     :ivar head_pause_s: pause before the head of each answer.
@@ -237,6 +238,7 @@
         self.models = {model: set() for model in models}
         self.sequence = 0
         self.fault = ""
+        self.forgets_connections = False
         self.events = 5
         self.stop_after = 0
         self.gap_s = 0.0
@@ -305,6 +307,10 @@
 
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         fault, request_id = self.fault, request.headers["Attempt-Id"]
+        is_kept, request.is_kept = getattr(request, "is_kept", False), True
+        if is_kept and self.forgets_connections:
+            request.close_connection = True
+            return
         time.sleep(self.head_pause_s)
         if fault == "not-run":
             send_json(request, 503, {}, Not_Executed="1", Attempt_Id=request_id)
