Count the wait for a thread against a request's deadline

Callers saw: with all threads busy, an answer or a refusal later than their deadline.

Cause: the time of arrival was taken when a thread began with the request, not when its last byte was read.

--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -3,7 +3,6 @@
 import json
 import random
 import sys
-import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 
@@ -70,14 +69,13 @@
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve one request."""
-        arrived = time.monotonic()
         if not self._state.begin_request():
             return self._refuse(
                 _make_busy_refusal("the host is at its limit of requests or stopping"),
                 start_response,
             )
         try:
-            result = self._handle(environ, arrived)
+            result = self._handle(environ)
         except Refusal as refusal:
             result = refusal
         except CallerDisconnectedError:
@@ -100,8 +98,8 @@
             return self._refuse(failure, start_response, sys.exc_info())
         return body
 
-    def _handle(self, environ: dict, arrived: float) -> Reply | Refusal:
-        inbound = _parse_request(environ, arrived)
+    def _handle(self, environ: dict) -> Reply | Refusal:
+        inbound = _parse_request(environ)
         table = self._get_route_table()
         if table is None:
             raise _make_busy_refusal("no configuration is known yet")
@@ -222,7 +220,7 @@
     return next((value for key, value in headers if key.lower() == name), "")
 
 
-def _parse_request(environ: dict, arrived: float) -> _InboundRequest:
+def _parse_request(environ: dict) -> _InboundRequest:
     parsed = environ[PARSED_REQUEST]
     lines = parsed.header_lines
     target = parsed.request_uri
@@ -233,7 +231,8 @@
         headers=lines,
         value_by_name={name.lower(): value for name, value in lines},
         body=environ["wsgi.input"].read(),
-        arrived=arrived,
+        # The request may have waited for a thread since.
+        arrived=parsed.completed_at,
     )
 
 
