Measure idle connections by the monotonic clock

Callers saw: an answer that broke off while they were still reading it, after the host's time of day had jumped forward by more than two minutes.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -223,8 +223,19 @@
     def __init__(self, *args: object, **kwargs: object) -> None:
         self._has_loop_error = False
         self._is_serving = False
+        self._seen_activity = 0.0
+        self._idle_since = time.monotonic()
         super().__init__(*args, **kwargs)
 
+    def measure_idle(self, now: float) -> float:
+        """Return the seconds since the call before which the channel was last active.
+
+        :param now: seconds on the monotonic clock.
+        """
+        if self.last_activity != self._seen_activity:
+            self._seen_activity, self._idle_since = self.last_activity, now
+        return now - self._idle_since
+
     def service(self) -> None:
         """Answer the first request; report those behind it if its answer ends the connection."""
         self._is_serving = True
@@ -287,11 +298,16 @@
     on_unanswered: Callable[[UnansweredRequest], None] = staticmethod(_ignore)
 
     def maintenance(self, now: float) -> None:
-        """Close idle channels, and those without output progress for ``channel_timeout``."""
-        super().maintenance(now)
-        cutoff = now - self.adj.channel_timeout
-        for channel in self.active_channels.values():
-            if channel.total_outbufs_len and channel.last_activity < cutoff:
+        """Close idle channels, and those without output progress for ``channel_timeout``.
+
+        waitress compares times of day, and a step of the clock would close connections that are in
+        use.
+        """
+        monotonic_now = time.monotonic()
+        for channel in list(self.active_channels.values()):
+            is_unused = not channel.requests or channel.total_outbufs_len
+            idle_s = channel.measure_idle(monotonic_now)
+            if is_unused and idle_s >= self.adj.channel_timeout:
                 channel.will_close = True
 
     def stop_accepting(self) -> None:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,11 +1,13 @@
 """Connections that are kept, queued, half closed or limited lose no request."""
 
 import threading
+import time
 import unittest
 from unittest import mock
 
-from catkinhook.wsgiserver import OnDemandDispatcher
-from tests.connectioncase import HEADERS, ConnectionCase
+from catkinhook.wsgiserver import OnDemandDispatcher, Server
+from tests.connectioncase import HEADERS, Caller, ConnectionCase
+from tests.hostcase import WAIT_S, wait_until
 
 KEPT = 4
 PAUSE_S = 0.6
@@ -41,5 +43,51 @@
         self.assertLessEqual(int(request.get("Deadline-Ms")), 3000 - PAUSE_S * 1000)
 
 
+class ServerTest(unittest.TestCase):
+    """The HTTP server alone, with an application that the test controls."""
+
+    def start_server(self, application: object, threads: int = 4, **adjustments: object) -> None:
+        """Start a server."""
+        dispatcher = OnDemandDispatcher(threads)
+        self.server = Server(
+            application,
+            host="127.0.0.1",
+            port=0,
+            dispatcher=dispatcher,
+            asyncore_use_poll=True,
+            channel_request_lookahead=1,
+            **adjustments,
+        )
+        self.unanswered: list[str] = []
+        self.server.on_unanswered = lambda unanswered: self.unanswered.append(unanswered.why)
+        thread = threading.Thread(target=self.server.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, WAIT_S)
+        self.addCleanup(self.server.shut_down)
+
+    def connect(self) -> Caller:
+        """Open a connection to the server."""
+        caller = Caller(f"127.0.0.1:{self.server.effective_port}")
+        self.addCleanup(caller.close)
+        return caller
+
+    def test_step_of_the_clock_cuts_no_answer(self) -> None:
+        """An answer that its caller still reads must not be cut by a step of the time of day."""
+        size = 16 << 20
+
+        def application(environ: dict, start_response: object) -> list[bytes]:
+            start_response("200 OK", [("Content-Length", str(size))])
+            return [b"x" * size]
+
+        self.start_server(application, cleanup_interval=1, outbuf_overflow=2 * size)
+        caller = self.connect()
+        caller.send("GET / HTTP/1.1\r\n\r\n")
+        wait_until(lambda: any(c.total_outbufs_len for c in self.server.active_channels.values()))
+        step = time.time() + CLOCK_STEP_S
+        with mock.patch("waitress.server.time.time", lambda: step):
+            time.sleep(1.5)
+        self.assertEqual(len(caller.read_answer()[1]), size)
+
+
 if __name__ == "__main__":
     unittest.main()
