Close connections whose callers have stopped reading

Callers saw: refusals by a host whose threads and request slots were held by callers that no longer read their answers.

Cause: maintenance only marked such a connection, and the event loop closes a marked connection when it can be written to, which this one never can.

Evidence: the test waited 10 s for the end of a connection with an idle timeout of 1 s before ("the condition did not become true in time"); it is closed and counted now.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -227,6 +227,10 @@
         self._idle_since = time.monotonic()
         super().__init__(*args, **kwargs)
 
+    def writable(self) -> bool:
+        """Whether to wait until output can be sent; not on a closed socket."""
+        return self.socket is not None and super().writable()
+
     def measure_idle(self, now: float) -> float:
         """Return the seconds since the call before which the channel was last active.
 
@@ -309,6 +313,9 @@
             idle_s = channel.measure_idle(monotonic_now)
             if is_unused and idle_s >= self.adj.channel_timeout:
                 channel.will_close = True
+                # The event loop closes a channel when it can be written to, which one whose
+                # caller reads nothing never can.
+                channel.handle_close()
 
     def stop_accepting(self) -> None:
         """Accept the connections in the backlog, then close the listening socket.
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from catkinhook.wsgiserver import OnDemandDispatcher, Server
+from catkinhook.wsgiserver import HOST_CLOSED, OnDemandDispatcher, Server
 from tests.connectioncase import HEADERS, Caller, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
 
@@ -88,6 +88,21 @@
             time.sleep(1.5)
         self.assertEqual(len(caller.read_answer()[1]), size)
 
+    def test_connection_of_a_caller_that_stopped_reading_is_closed(self) -> None:
+        """An answer that its caller does not read must not hold a thread for ever."""
+        size = 64 << 20
+
+        def application(environ: dict, start_response: object) -> list[bytes]:
+            start_response("200 OK", [("Content-Length", str(size))])
+            return iter([b"x" * (size // 4)] * 4)
+
+        self.start_server(
+            application, channel_timeout=1, cleanup_interval=1, outbuf_overflow=2 * size
+        )
+        caller = self.connect()
+        caller.send("GET / HTTP/1.1\r\n\r\n")
+        wait_until(lambda: self.unanswered == [HOST_CLOSED])
+
 
 if __name__ == "__main__":
     unittest.main()
