--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,11 +1,14 @@
 """Connections that are kept, queued, half closed or limited lose no request."""
 
+import errno
+import socket
 import threading
 import time
 import unittest
 from unittest import mock
 
-from catkinhook.wsgiserver import HOST_CLOSED, OnDemandDispatcher, Server
+from catkinhook.requests.attempts import CountingConnection
+from catkinhook.wsgiserver import CALLER_CLOSED, HOST_CLOSED, OnDemandDispatcher, Server
 from tests.connectioncase import HEADERS, Caller, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
 
@@ -30,6 +33,61 @@
         for _ in range(KEPT):
             self.assertEqual(self.send_request("GET", "/look/x")[0].status, 200)
 
+    def test_line_breaks_between_requests_are_skipped(self) -> None:
+        """Line breaks after a body, which older callers send, must not cost the next request."""
+        for breaks in ("\r\n", "\r\n\r\n"):
+            caller = self.connect()
+            for _ in range(KEPT):
+                caller.send(
+                    f"POST /post/x HTTP/1.1\r\n{HEADERS}Content-Length: 2\r\n\r\nab{breaks}"
+                )
+                self.assertEqual(caller.read_answer()[0], 200)
+
+    def test_body_in_chunks_is_forwarded(self) -> None:
+        """A body in chunks, with extensions and trailers, must reach its endpoint as a whole."""
+        caller = self.connect()
+        head = f"POST /post/x HTTP/1.1\r\n{HEADERS}Transfer-Encoding: chunked\r\n\r\n"
+        for _ in range(2):
+            caller.send(f"{head}2;a=b\r\nab\r\n1\r\nc\r\n0\r\nX-A: b\r\n\r\n")
+            self.assertEqual(caller.read_answer()[0], 200)
+        bodies = [request.body for request in self.received_requests(self.plain_endpoints)]
+        self.assertEqual(bodies, [b"abc"] * 2)
+
+    def test_caller_that_half_closes_counts_as_one_that_left(self) -> None:
+        """A half-closed connection can't be told from a closed one; the request is cancelled."""
+        for endpoint in self.plain_endpoints:
+            endpoint.head_pause_s = PAUSE_S
+        caller = self.connect()
+        caller.send(f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n")
+        wait_until(lambda: bool(self.received_requests(self.plain_endpoints)))
+        caller.sock.shutdown(socket.SHUT_WR)
+        self.assertEqual(caller.read_answer()[0], 0)
+        wait_until(lambda: self.count_unanswered(CALLER_CLOSED) == 1)
+        self.check_nothing_is_held()
+
+    def test_request_beyond_the_limit_of_requests_is_refused(self) -> None:
+        """A request at the limit must get 503, and the requests that run their answers."""
+        for endpoint in self.plain_endpoints:
+            endpoint.head_pause_s = PAUSE_S
+        callers = [self.connect() for _ in range(KEPT)]
+        with mock.patch.object(self.host.state, "_max_requests", KEPT):
+            for caller in callers:
+                caller.send(f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n")
+            wait_until(lambda: self.host.state.in_progress == KEPT)
+            status, _ = self.exchange(f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n")
+        self.assertEqual(status, 503)
+        self.assertEqual([caller.read_answer()[0] for caller in callers], [200] * KEPT)
+
+    def test_request_without_a_descriptor_for_its_endpoint_is_refused(self) -> None:
+        """A request must be refused, not dropped, when no connection can be opened."""
+        error = OSError(errno.EMFILE, "Too many open files")
+        with mock.patch.object(CountingConnection, "connect", side_effect=error):
+            status, _ = self.exchange(
+                f"POST /post/x HTTP/1.1\r\n{HEADERS}Content-Length: 0\r\n\r\n"
+            )
+        self.assertEqual(status, 503)
+        self.check_nothing_is_held()
+
     def test_wait_for_a_thread_counts_against_the_deadline(self) -> None:
         """A request that waited for a thread must not be given the whole time that it had."""
         add_task = OnDemandDispatcher.add_task
@@ -71,6 +129,44 @@
         self.addCleanup(caller.close)
         return caller
 
+    def test_queued_request_whose_caller_left_is_not_run(self) -> None:
+        """A request that waits for a thread must not run after its caller has left."""
+        release, paths = threading.Event(), []
+
+        def application(environ: dict, start_response: object) -> list[bytes]:
+            paths.append(environ["PATH_INFO"])
+            release.wait(WAIT_S)
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        self.start_server(application, threads=1)
+        first, second = self.connect(), self.connect()
+        first.send("GET /a HTTP/1.1\r\n\r\n")
+        wait_until(lambda: paths == ["/a"])
+        second.send("GET /b HTTP/1.1\r\n\r\n")
+        wait_until(lambda: len(self.server.task_dispatcher.queue) == 1)
+        second.close()
+        wait_until(lambda: self.unanswered == [CALLER_CLOSED])
+        release.set()
+        self.assertEqual(first.read_answer(), (200, b"ok"))
+        wait_until(lambda: not self.server.task_dispatcher.queue)
+        self.assertEqual((paths, self.unanswered), (["/a"], [CALLER_CLOSED]))
+
+    def test_maintenance_closes_no_connection_with_a_request(self) -> None:
+        """A request that waits or runs longer than the idle timeout must get its answer."""
+
+        def application(environ: dict, start_response: object) -> list[bytes]:
+            time.sleep(3.0)
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        self.start_server(application, threads=1, channel_timeout=1, cleanup_interval=1)
+        callers = [self.connect(), self.connect()]
+        for caller in callers:
+            caller.send("GET / HTTP/1.1\r\n\r\n")
+        self.assertEqual([caller.read_answer() for caller in callers], [(200, b"ok")] * 2)
+        self.assertEqual(self.unanswered, [])
+
     def test_step_of_the_clock_cuts_no_answer(self) -> None:
         """An answer that its caller still reads must not be cut by a step of the time of day."""
         size = 16 << 20
@@ -103,6 +199,22 @@
         caller.send("GET / HTTP/1.1\r\n\r\n")
         wait_until(lambda: self.unanswered == [HOST_CLOSED])
 
+    def test_connections_beyond_the_limit_are_served_later(self) -> None:
+        """A connection beyond the limit must wait, and those that are open must be served."""
+
+        def application(environ: dict, start_response: object) -> list[bytes]:
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        self.start_server(application, connection_limit=KEPT, asyncore_loop_timeout=0.05)
+        callers = [self.connect() for _ in range(KEPT * 3)]
+        for caller in callers:
+            caller.send("GET / HTTP/1.1\r\n\r\n")
+        for caller in callers:
+            self.assertEqual(caller.read_answer(), (200, b"ok"))
+            caller.close()
+        self.assertEqual(self.unanswered, [])
+
 
 if __name__ == "__main__":
     unittest.main()
