Keep the HTTP server up after an unexpected error in its event loop

Callers saw: no connection to a host, or no answer to any request that it read, while its readiness check said 200, for as long as the process lived.

Cause: wasyncore closes the listening socket after an exception while a connection is accepted, such as a MemoryError, and an exception in maintenance ends the event loop's thread.

Evidence: the test raises one MemoryError in each place. Before, the next connection was refused ("ConnectionRefusedError: [Errno 111] Connection refused"), and with an error in maintenance the next request got no answer in 3 s. Both get 200 now.

Why it works: an error while accepting costs that connection only, and the loop goes on after any other error, with a pause so that one that comes back does not use a whole core.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -22,6 +22,8 @@
 # A stream with more unsent output than this is returned from the thread that all streams share to
 # the thread of its request.
 MAX_BACKLOG_BYTES = 64 * KIB
+# Pause of the event loop after an unexpected error, which may come back at once.
+LOOP_ERROR_PAUSE_S = 0.05
 
 # Line break within a header, which becomes a space.
 _FOLD = re.compile(r"[ \t]*\r\n[ \t]+")
@@ -301,6 +303,20 @@
     channel_class = Channel
     on_unanswered: Callable[[UnansweredRequest], None] = staticmethod(_ignore)
 
+    def run(self) -> None:
+        """Run the event loop until all its sockets are closed, also after an unexpected error."""
+        while True:
+            try:
+                super().run()
+                return
+            except Exception:
+                self.logger.exception("error in the event loop")
+                time.sleep(LOOP_ERROR_PAUSE_S)
+
+    def handle_error(self) -> None:
+        """Log an error while a connection is accepted; the default closes the listening socket."""
+        self.logger.exception("a connection was not accepted")
+
     def maintenance(self, now: float) -> None:
         """Close idle channels, and those without output progress for ``channel_timeout``.
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -199,6 +199,24 @@
         caller.send("GET / HTTP/1.1\r\n\r\n")
         wait_until(lambda: self.unanswered == [HOST_CLOSED])
 
+    def test_error_in_the_event_loop_ends_no_other_connection(self) -> None:
+        """An error of one accept or of maintenance must not leave all later requests unanswered."""
+
+        def application(environ: dict, start_response: object) -> list[bytes]:
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        self.start_server(application, cleanup_interval=1)
+        for owner, name in ((self.server, "channel_class"), (self.server, "maintenance")):
+            with mock.patch.object(owner, name, side_effect=MemoryError) as failing:
+                failed = self.connect()
+                failed.sock.settimeout(0.1)
+                wait_until(lambda failing=failing: failing.called)
+            caller = self.connect()
+            caller.sock.settimeout(3.0)
+            caller.send("GET / HTTP/1.1\r\n\r\n")
+            self.assertEqual(caller.read_answer(), (200, b"ok"), name)
+
     def test_connections_beyond_the_limit_are_served_later(self) -> None:
         """A connection beyond the limit must wait, and those that are open must be served."""
 
