Take no lock in signal handlers

Callers saw: their requests cut when a host that had got two signals within a millisecond was told to stop: it did not hear SIGTERM and would be killed at the end of the grace period, with every request that ran. With still more signals, the host died at once.

Cause: Python runs a handler in the main thread between any two steps. The handlers set the threading.Event on which the main thread waits; if that held the event's lock at the moment, the handler waited for ever for its own thread. Each later handler nested in it, up to a RecursionError that ended the process, and with it all requests.

Gateway, controller and emulators had the same handlers and use the same function now.

--- a/catkinhook/controller.py
+++ b/catkinhook/controller.py
@@ -28,6 +28,7 @@
 from catkinhook.peering.membership import Member
 from catkinhook.peering.peers import PeerPool, PeerServer
 from catkinhook.settings import Settings, read_secret
+from catkinhook.signals import receive_signals
 from catkinhook.state.configuration import ConfigurationPoller, ConfigurationStore
 from catkinhook.state.hostlist import HttpHostList
 from catkinhook.state.objectstore import HttpObjectStore
@@ -286,16 +287,14 @@
 
     :returns: exit code.
     """
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    wait_for_signal = receive_signals(signal.SIGTERM, signal.SIGINT)
     kernel.start()
     addresses = {
         "address": kernel.find("peers").address,
         "admin_address": kernel.find("admin").address,
     }
     _log.info("controller started", extra=addresses)
-    stop.wait()
+    wait_for_signal()
     kernel.close()
     _log.info("controller stopped")
     return 0
--- a/catkinhook/dev.py
+++ b/catkinhook/dev.py
@@ -4,7 +4,6 @@
 import secrets
 import signal
 import tempfile
-import threading
 import time
 from pathlib import Path
 
@@ -23,6 +22,7 @@
     PlatformSettings,
     Settings,
 )
+from catkinhook.signals import receive_signals
 from catkinhook.state.configuration import ConfigurationStore
 from catkinhook.state.hostlist import Host
 from catkinhook.yamlfile import Seconds
@@ -153,9 +153,7 @@
     :param admin_port: port of the operators' API.
     :returns: exit code.
     """
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    wait_for_signal = receive_signals(signal.SIGTERM, signal.SIGINT)
     emulators = Emulators()
     with tempfile.TemporaryDirectory(prefix="catkinhook-") as folder:
         kernels: list[Kernel] = []
@@ -172,7 +170,7 @@
             bound_port = gateway.find("listener").port
             _await_model(controller, "small")
             _print_help(bound_port, admin_port, Path(folder))
-            stop.wait()
+            wait_for_signal()
         finally:
             for kernel in reversed(kernels):
                 kernel.close()
--- a/catkinhook/emulators/processes.py
+++ b/catkinhook/emulators/processes.py
@@ -3,9 +3,9 @@
 import json
 import signal
 import sys
-import threading
 
 from catkinhook.kernel import Service
+from catkinhook.signals import receive_signals
 
 
 def run_until_terminated(emulator: Service) -> int:
@@ -13,13 +13,11 @@
 
     :returns: exit code 0.
     """
-    stop = threading.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: stop.set())
+    wait_for_signal = receive_signals(signal.SIGTERM, signal.SIGINT)
     emulator.start()
     print(json.dumps({"address": emulator.address}), flush=True)
     try:
-        stop.wait()
+        wait_for_signal()
     finally:
         emulator.close()
         sys.stdout.flush()
--- a/catkinhook/gateway.py
+++ b/catkinhook/gateway.py
@@ -30,6 +30,7 @@
 from catkinhook.requests.pump import Pump
 from catkinhook.requests.web import Application, RequestSlots, ServingState
 from catkinhook.settings import GatewaySettings, Settings, read_secret
+from catkinhook.signals import receive_signals
 from catkinhook.state.gatewayreports import GatewayReport
 from catkinhook.state.objectstore import HttpObjectStore
 from catkinhook.state.snapshots import SnapshotClient
@@ -324,13 +325,11 @@
     :param notice_time: seconds between becoming not ready and closing the listening socket.
     :returns: exit code.
     """
-    stop = threading.Event()
-    # A second signal has no effect, since the event is already set.
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    # A second signal has no effect, since only the first one is awaited.
+    wait_for_signal = receive_signals(signal.SIGTERM, signal.SIGINT)
     kernel.start()
     _log.info("gateway started", extra={"port": kernel.find("listener").port})
-    stop.wait()
+    wait_for_signal()
     _log.info("gateway is stopping")
     kernel.find("listener").mark_unready()
     time.sleep(notice_time)
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -38,6 +38,7 @@
 from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
 from catkinhook.requests.routetable import RouteTable
+from catkinhook.signals import receive_signals
 from catkinhook.state.storeinterfaces import ChangeFeed, ConditionalRow
 from catkinhook.state.storewatches import ConfigurationWatch, EndpointWatch
 from catkinhook.state.views import EndpointView
@@ -367,15 +368,7 @@
     """
     threading.stack_size(THREAD_STACK_BYTES)
     host = Host(settings, platform)
-    signal_received = threading.Event()
-    signals: list[int] = []
-
-    def on_signal(number: int, frame: object) -> None:
-        signals.append(number)
-        signal_received.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, on_signal)
+    next_signal = receive_signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     host.kernel.start()
     host.log.record(
         "process",
@@ -385,13 +378,8 @@
         incarnation=host.incarnation,
         version=__version__,
     )
-    while True:
-        signal_received.wait()
-        signal_received.clear()
-        while signals:
-            if signals.pop(0) == signal.SIGHUP:
-                host.log.record("process", outcome=f"reload: {reload_settings()}")
-                continue
-            host.stop()
-            # Exits without joining threads, which may be blocked on the store or an endpoint.
-            os._exit(0)
+    while next_signal() == signal.SIGHUP:
+        host.log.record("process", outcome=f"reload: {reload_settings()}")
+    host.stop()
+    # Exits without joining threads, which may be blocked on the store or an endpoint.
+    os._exit(0)
