Be ready only once the host accepts connections

Callers saw: a refused connection from a host that had said that it was ready.

Cause: the address for callers is bound last, after the configuration and the endpoints are known; the readiness check asked only for those.

The new test failed before ("Lists differ: [''] != ['the host does not accept connections yet']") and passes now.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -117,6 +117,7 @@
     """Service that runs a waitress server in a thread.
 
     :param on_unanswered: called for each whole request that gets no complete answer.
+    :ivar is_listening: whether connections are accepted.
     """
 
     def __init__(
@@ -132,6 +133,7 @@
         self._threads = threads
         self._name = name
         self._on_unanswered = on_unanswered
+        self.is_listening = False
 
     def start(self) -> None:
         """Bind the address and start to serve."""
@@ -155,6 +157,7 @@
             send_bytes=1,
             ident="catkinhook",
         )
+        self.is_listening = True
         if self._on_unanswered is not None:
             self.server.on_unanswered = self._on_unanswered
         self._thread = threading.Thread(target=self.server.run, name=self._name, daemon=True)
@@ -303,6 +306,8 @@
             return "no configuration is known yet"
         if not self.endpoints.is_loaded:
             return "no endpoints are known yet"
+        if not self.front.is_listening:
+            return "the host does not accept connections yet"
         return ""
 
     def _render_metrics(self) -> bytes:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -3,6 +3,7 @@
 import http.client
 from unittest import mock
 
+from catkinhook.host import WebListener
 from catkinhook.wsgiserver import (
     APPLICATION,
     CALLER_CLOSED,
@@ -11,7 +12,7 @@
     UNHANDLED,
 )
 from tests.connectioncase import HEADERS, ConnectionCase
-from tests.hostcase import REQUEST_ID, WAIT_S, wait_until
+from tests.hostcase import REQUEST_ID, WAIT_S, HostCase, wait_until
 
 
 class CounterTest(ConnectionCase):
@@ -64,6 +65,27 @@
             self.assertEqual(self.count_unanswered(why), 0, why)
 
 
+class ReadinessTest(HostCase):
+    """A host that starts."""
+
+    def setUp(self) -> None:
+        start, self.reasons = WebListener.start, []
+
+        def start_late(listener: WebListener) -> None:
+            if listener is self.host.front:
+                wait_until(lambda: self.host.configuration.table is not None)
+                wait_until(lambda: self.host.endpoints.is_loaded)
+                self.reasons.append(self.host.state.explain_unready())
+            start(listener)
+
+        with mock.patch.object(WebListener, "start", start_late):
+            super().setUp()
+
+    def test_host_is_not_ready_before_it_accepts_connections(self) -> None:
+        """Callers must not be sent to a host that still refuses their connections."""
+        self.assertEqual(self.reasons, ["the host does not accept connections yet"])
+
+
 if __name__ == "__main__":
     import unittest
 
