--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -7,7 +7,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import attrs
@@ -40,13 +40,14 @@
 from catkinhook.requests.partquarantine import Quarantine
 from catkinhook.requests.quarantinecontrol import QuarantineControl
 from catkinhook.requests.routetable import RouteTable
+from catkinhook.signals import receive_signals
 from catkinhook.state.storeinterfaces import ChangeFeed, ConditionalRow
 from catkinhook.state.storewatches import ConfigurationWatch, EndpointWatch
 from catkinhook.state.views import EndpointView
 from catkinhook.stateactor import StateActor
 from catkinhook.thrift_hosts import Host as HostInterface
 from catkinhook.units import KIB, MIB
-from catkinhook.wsgiserver import OnDemandDispatcher, Server
+from catkinhook.wsgiserver import CALLER_CLOSED, OnDemandDispatcher, Server, UnansweredRequest
 
 # Maximum number of requests in progress on one host; each occupies a thread.
 MAX_REQUESTS = 224
@@ -94,14 +95,13 @@
 class Platform:
     """Dependencies of a host on the platform that it runs on.
 
-    :ivar request_id_header: header with the id that a caller gave its request.
     :ivar configuration_key: key of the configuration's row.
+    :ivar find_request_id: returns the caller's id of a request with these headers, empty for none.
     :ivar make_front_application: creates the application for callers.
     :ivar make_readiness_application: creates the application for the readiness check, the metrics
         and the operators' view of quarantines.
     """
 
-    request_id_header: str
     configuration_feed: ChangeFeed
     configuration_key: str
     endpoint_feed: ChangeFeed
@@ -109,6 +109,7 @@
     engines: SequencedEngineClient
     decode_configuration: Callable[[bytes], Result[RouteTable, str]]
     decode_endpoint: Callable[[str, bytes], Result[EndpointView, str]]
+    find_request_id: Callable[[Iterable[tuple[str, str]]], str]
     make_front_application: ApplicationFactory
     make_readiness_application: Callable[
         [HostState, Callable[[], bytes], QuarantineControl], Callable
@@ -121,13 +122,26 @@
 
 
 class WebListener:
-    """Service that runs a waitress server in a thread."""
+    """Service that runs a waitress server in a thread.
 
-    def __init__(self, application: Callable, address: str, threads: int, name: str) -> None:
+    :param on_unanswered: called for each whole request that gets no complete answer.
+    :ivar is_listening: whether connections are accepted.
+    """
+
+    def __init__(
+        self,
+        application: Callable,
+        address: str,
+        threads: int,
+        name: str,
+        on_unanswered: Callable[[UnansweredRequest], None] | None = None,
+    ) -> None:
         self._application = application
         self._address = address
         self._threads = threads
         self._name = name
+        self._on_unanswered = on_unanswered
+        self.is_listening = False
 
     def start(self) -> None:
         """Bind the address and start to serve."""
@@ -151,6 +165,9 @@
             send_bytes=1,
             ident="catkinhook",
         )
+        self.is_listening = True
+        if self._on_unanswered is not None:
+            self.server.on_unanswered = self._on_unanswered
         self._thread = threading.Thread(target=self.server.run, name=self._name, daemon=True)
         self._thread.start()
 
@@ -169,7 +186,6 @@
 
     def __init__(self, settings: HostSettings, platform: Platform) -> None:
         self._settings = settings
-        self._request_id_header = platform.request_id_header
         bounds = settings.bounds
         self.incarnation = incarnation = uuid.uuid4().hex[:12]
         origin = f"{settings.node}/{incarnation}"
@@ -270,7 +286,10 @@
             lambda: self.configuration.table, forwarder, connections, self.state
         )
         threads = MAX_REQUESTS + SPARE_THREADS
-        self.front = WebListener(front, settings.front_address, threads, "front")
+        self._find_request_id = platform.find_request_id
+        self.front = WebListener(
+            front, settings.front_address, threads, "front", self._record_unanswered
+        )
         control = QuarantineControl(scheduler, self.holder_link.push_evidence)
         ready = platform.make_readiness_application(self.state, self._render_metrics, control)
         self.kernel = Kernel()
@@ -311,6 +330,8 @@
             return "no configuration is known yet"
         if not self.endpoints.is_loaded:
             return "no endpoints are known yet"
+        if not self.front.is_listening:
+            return "the host does not accept connections yet"
         return ""
 
     def _record_quarantine(self, quarantine: Quarantine, change: str, now: float) -> None:
@@ -334,6 +355,19 @@
         self.metrics.in_progress.set(self.state.in_progress)
         return self.metrics.render()
 
+    def _record_unanswered(self, unanswered: UnansweredRequest) -> None:
+        self.metrics.unanswered.labels(unanswered.why).inc()
+        # Callers often leave, and then the line of the request says so.
+        if unanswered.why != CALLER_CLOSED:
+            self.log.record(
+                "unanswered",
+                outcome=unanswered.why,
+                id=self._find_request_id(unanswered.header_lines),
+                target=unanswered.target,
+                age_s=round(unanswered.age_s, 3),
+                reason=unanswered.reason,
+            )
+
     def stop(self) -> None:
         """Mark the host as stopping and wait for requests in progress, up to the grace period."""
         began = time.monotonic()
@@ -352,11 +386,10 @@
         # Before the log is closed, which may take longer than KILL_MARGIN_S.
         answered = self.front.server.answer_unfinished(CLOSE_TIMEOUT_S)
         for request in answered:
-            headers = {name.lower(): value for name, value in request.request.header_lines}
             self.log.record(
                 "request",
                 outcome="ended by the stop",
-                id=headers.get(self._request_id_header.lower(), ""),
+                id=self._find_request_id(request.request.header_lines),
                 status=request.status.value,
                 ran=request.ran.value,
             )
@@ -402,15 +435,7 @@
     """
     threading.stack_size(THREAD_STACK_BYTES)
     host = Host(settings, platform)
-    signal_received = threading.Event()
-    signals: list[int] = []
-
-    def on_signal(number: int, frame: object) -> None:
-        signals.append(number)
-        signal_received.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, on_signal)
+    next_signal = receive_signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     host.kernel.start()
     host.log.record(
         "process",
@@ -420,13 +445,8 @@
         incarnation=host.incarnation,
         version=__version__,
     )
-    while True:
-        signal_received.wait()
-        signal_received.clear()
-        while signals:
-            if signals.pop(0) == signal.SIGHUP:
-                host.log.record("process", outcome=f"reload: {reload_settings()}")
-                continue
-            host.stop()
-            # Exits without joining threads, which may be blocked on the store or an endpoint.
-            os._exit(0)
+    while next_signal() == signal.SIGHUP:
+        host.log.record("process", outcome=f"reload: {reload_settings()}")
+    host.stop()
+    # Exits without joining threads, which may be blocked on the store or an endpoint.
+    os._exit(0)
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -2,7 +2,7 @@
 
 import json
 import random
-import time
+import sys
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from urllib.parse import parse_qs
@@ -71,14 +71,13 @@
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve one request."""
-        arrived = time.monotonic()
         if not self._state.begin_request():
             return self._refuse(
                 _make_busy_refusal("the host is at its limit of requests or stopping"),
                 start_response,
             )
         try:
-            result = self._handle(environ, arrived)
+            result = self._handle(environ)
         except Refusal as refusal:
             result = refusal
         except CallerDisconnectedError:
@@ -91,11 +90,18 @@
         if isinstance(result, Refusal):
             self._state.end_request()
             return self._refuse(result, start_response)
-        self._start_answer(result, start_response)
-        return _ResponseBody(result, self._state.end_request)
+        body = _ResponseBody(result, self._state.end_request)
+        try:
+            self._start_answer(result, start_response)
+        except Exception as error:
+            body.close()
+            self._state.log_unhandled_error(error)
+            failure = Refusal(STEP, "", "the host failed", "internal", 500, Ran.UNKNOWN)
+            return self._refuse(failure, start_response, sys.exc_info())
+        return body
 
-    def _handle(self, environ: dict, arrived: float) -> Reply | Refusal:
-        inbound = _parse_request(environ, arrived)
+    def _handle(self, environ: dict) -> Reply | Refusal:
+        inbound = _parse_request(environ)
         table = self._get_route_table()
         if table is None:
             raise _make_busy_refusal("no configuration is known yet")
@@ -158,12 +164,14 @@
             headers.append(("Content-Length", str(reply.length)))
         start_response(_status_line(reply.status), headers)
 
-    def _refuse(self, refusal: Refusal, start_response: Callable) -> Iterable[bytes]:
+    def _refuse(
+        self, refusal: Refusal, start_response: Callable, exc_info: tuple | None = None
+    ) -> Iterable[bytes]:
         body = render_problem(refusal)
         headers = [("Content-Type", PROBLEM_CONTENT_TYPE), ("Content-Length", str(len(body)))]
         if refusal.status == 503:
             headers.append((protocolnames.RETRY_AFTER, f"{refusal.retry_after_s:.2f}"))
-        start_response(_status_line(refusal.status), headers)
+        start_response(_status_line(refusal.status), headers, exc_info)
         return [body]
 
 
@@ -229,7 +237,13 @@
         return _encode_json(200 if is_lifted else 404, {"parts": key, "lifted": is_lifted})
 
 
-def _parse_request(environ: dict, arrived: float) -> _InboundRequest:
+def find_request_id(headers: Iterable[tuple[str, str]]) -> str:
+    """Return the caller's id of a request, empty if it has none."""
+    name = protocolnames.REQUEST_ID.lower()
+    return next((value for key, value in headers if key.lower() == name), "")
+
+
+def _parse_request(environ: dict) -> _InboundRequest:
     parsed = environ[PARSED_REQUEST]
     lines = parsed.header_lines
     target = parsed.request_uri
@@ -240,7 +254,8 @@
         headers=lines,
         value_by_name={name.lower(): value for name, value in lines},
         body=environ["wsgi.input"].read(),
-        arrived=arrived,
+        # The request may have waited for a thread since.
+        arrived=parsed.completed_at,
     )
 
 
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import http.client
+import re
 import socket
 import time
 from collections.abc import Callable
@@ -53,6 +54,9 @@
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
 _BODILESS = frozenset({204, 304})
 
+# Line break within a header, which becomes a space.
+_FOLD = re.compile(r"[ \t]*\r?\n[ \t]*")
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -63,7 +67,7 @@
     :param headers: headers to forward, including ``Host``.
     :param is_repeatable: whether the request may run twice. Otherwise it is sent on a new
         connection, because the endpoint may close a keep-alive connection while it is being sent.
-        A request that may run twice uses a new connection when it is sent to an address again.
+        A request that may run twice uses a new connection for each attempt after the first.
     """
 
     def __init__(
@@ -87,7 +91,7 @@
         self._is_repeatable = is_repeatable
         self._answer: EndpointAnswer | None = None
         self._is_aborted = False
-        self._tried_addresses: set[str] = set()
+        self._is_retry = False
 
     def open(
         self,
@@ -120,10 +124,10 @@
         # A request that may run only once can't go on elsewhere, and an endpoint that can't be
         # reached for some seconds may still finish it.
         answer.probes_peer = self._is_repeatable
-        # The id can't tell the answers to two attempts of this request on one connection apart.
-        address = assignment.endpoint.address
-        fresh = not self._is_repeatable or address in self._tried_addresses
-        self._tried_addresses.add(address)
+        # Endpoints may drop idle connections without notice, and a request has few attempts. The id
+        # can't tell the answers to two attempts of this request on one connection apart either.
+        fresh = not self._is_repeatable or self._is_retry
+        self._is_retry = True
         answer.send(self._method, self._target, headers, self._body, timeout_s, fresh, may_leave)
         return answer
 
@@ -158,6 +162,8 @@
 class EndpointAnswer:
     """An endpoint's answer; used by one thread, except for ``abort``.
 
+    :ivar is_to_head: whether this answers a HEAD request and has no body.
+    :ivar announced_length: length that an answer to HEAD announces, None if it has none.
     :ivar probes_peer: whether the kernel probes an endpoint that sends nothing, and closes the
         connection if it is gone.
     :ivar ends_at: time at which an unfinished answer is aborted.
@@ -179,7 +185,7 @@
         self._chunks: ChunkDecoder | None = None
         self._bytes_left: int | None = None
         self._is_ended = False
-        self._is_head_request = False
+        self.is_to_head = False
         self._buffered = b""
         self._has_extra_bytes = False
         self._is_aborted = False
@@ -187,6 +193,7 @@
         self.ends_at = float("inf")
         self.status = 0
         self.headers: Headers = ()
+        self.announced_length: int | None = None
         self.load: tuple[int, int] | None = None
 
     def send(
@@ -204,7 +211,7 @@
         :param may_leave: called while the endpoint seems silent; returns whether to stop early.
         :raises AttemptError: if this attempt got no valid answer.
         """
-        self._is_head_request = method == "HEAD"
+        self.is_to_head = method == "HEAD"
         limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
         try:
             connection = self._connections.acquire(self._endpoint.address, limits, fresh)
@@ -270,7 +277,7 @@
         if get("Content-Encoding") is not None:
             raise self._error("sent an encoded answer", fault="encoded")
         self.headers = tuple(
-            (name, value)
+            (name, _FOLD.sub(" ", value))
             for name, value in response.headers.items()
             if name.lower() not in protocolnames.HOP_BY_HOP_HEADERS
         )
@@ -303,7 +310,11 @@
         get_all = self._response.headers.get_all
         codings = [value.strip().lower() for value in get_all("Transfer-Encoding", [])]
         lengths = {value.strip() for value in get_all("Content-Length", [])}
-        if self._is_head_request or self.status in _BODILESS:
+        if self.is_to_head:
+            # Its length is that of the answer to GET; no body follows.
+            self.announced_length = parse_count(lengths.pop()) if len(lengths) == 1 else None
+            self._is_ended = True
+        elif self.status in _BODILESS:
             # The framing headers then describe the body that another answer would have.
             self._is_ended = True
         elif codings == ["chunked"]:
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import attrs
+import pykka
 
 from catkinhook.errors import Ran, Refusal
 from catkinhook.operations.decisionlog import DecisionLog
@@ -54,6 +55,8 @@
 
     :ivar status: HTTP status.
     :ivar headers: headers for the caller.
+    :ivar is_to_head: whether this answers a HEAD request and has no body.
+    :ivar announced_length: length of the answer to GET that an answer to HEAD announces, if any.
     :ivar load: running and waiting requests of the endpoint, None if it did not report them.
     :ivar is_delimited: whether a length or chunks mark the end of the body; otherwise it ends with
         its connection.
@@ -61,6 +64,8 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    is_to_head: bool
+    announced_length: int | None
     load: tuple[int, int] | None
     is_delimited: bool
 
@@ -197,14 +202,29 @@
 
         request, now = job.request, time.monotonic()
 
+        requested: list[PendingRequest] = []
+
         def submit(scheduler: Scheduler) -> PendingRequest | None:
             if job.attempts_sent == 0:
-                return scheduler.submit(request, on_decision, now)
-            return scheduler.resubmit(
-                request, job.tried_endpoints, job.ran, on_decision, now, job.has_reached_endpoint
-            )
+                pending = scheduler.submit(request, on_decision, now)
+            else:
+                pending = scheduler.resubmit(
+                    request,
+                    job.tried_endpoints,
+                    job.ran,
+                    on_decision,
+                    now,
+                    job.has_reached_endpoint,
+                )
+            if pending is not None:
+                requested.append(pending)
+            return pending
 
-        pending = self._scheduler.ask(submit)
+        try:
+            pending = self._scheduler.ask(submit)
+        except pykka.Timeout:
+            self._withdraw(requested, decisions)
+            return self._make_stuck_refusal(job)
         if pending is None:
             return None
         if not decided.is_set():
@@ -216,7 +236,11 @@
             self._monitor.remove(job.key)
             job.on_disconnect = None
         if not decisions:
-            self._scheduler.ask(lambda scheduler: scheduler.cancel(pending))
+            try:
+                self._scheduler.ask(lambda scheduler: scheduler.cancel(pending))
+            except pykka.Timeout:
+                self._withdraw(requested, decisions)
+                return self._make_stuck_refusal(job)
         # The scheduler may have decided before it ran the cancel.
         if not decisions:
             reason = "no endpoint was free in time"
@@ -224,12 +248,43 @@
             return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
         return decisions[0]
 
+    def _withdraw(self, requested: list[PendingRequest], decisions: list[Decision]) -> None:
+        """Withdraw a request whose scheduler did not answer in time.
+
+        The scheduler runs this after the call that timed out, which may still have taken a place.
+        """
+
+        def withdraw(scheduler: Scheduler) -> None:
+            now = time.monotonic()
+            for pending in requested:
+                scheduler.cancel(pending)
+            for decision in decisions:
+                if isinstance(decision, Assignment):
+                    scheduler.finish(decision.attempt, Outcome.CANCELLED, now)
+
+        self._scheduler.tell(withdraw)
+
+    def _make_stuck_refusal(self, job: "_Job") -> Refusal:
+        status = 503 if job.ran is Ran.NO else 504
+        reason = "the scheduler did not answer in time"
+        return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
+
     def try_move(self, job: "_Job") -> Assignment | None:
         """Assign a request to another endpoint if it can start there at once."""
         now = time.monotonic()
-        return self._scheduler.ask(
-            lambda scheduler: scheduler.try_move(job.request, job.tried_endpoints, now)
-        )
+        moved: list[Assignment] = []
+
+        def move(scheduler: Scheduler) -> Assignment | None:
+            assignment = scheduler.try_move(job.request, job.tried_endpoints, now)
+            if assignment is not None:
+                moved.append(assignment)
+            return assignment
+
+        try:
+            return self._scheduler.ask(move)
+        except pykka.Timeout:
+            self._withdraw([], moved)
+            return None
 
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
@@ -431,9 +486,18 @@
             except AttemptError as error:
                 self._end_failed_attempt(assignment, error)
                 failed = error
+            except Exception:
+                self._drop_attempt(assignment)
+                raise
             if not self._may_retry(failed):
                 return self._make_refusal(failed, "not repeated")
 
+    def _drop_attempt(self, assignment: Assignment) -> None:
+        """End an attempt after an unexpected error, so that its place is free again."""
+        self._upstream.abort()
+        self._answer = None
+        self._forwarder.finish(assignment, Outcome.CANCELLED)
+
     def _wait_for_assignment(self, failed: AttemptError | None) -> Assignment | Refusal:
         started = time.monotonic()
         decision, self._next_assignment = self._next_assignment, None
@@ -575,14 +639,17 @@
         self._forwarder.finish(assignment, outcome)
         self.ran = Ran.YES
         self._forwarder.record_end(self, "answered", answer.status)
+        length = answer.announced_length if answer.is_to_head else len(body)
         return Reply(
-            status=answer.status, headers=answer.headers, body=iter((body,)), length=len(body)
+            status=answer.status, headers=answer.headers, body=iter((body,)), length=length
         )
 
     def _begin_stream(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
         chunks = self._read_events(assignment, answer)
         first = next(chunks, b"")
         body = self._relay_events(assignment, answer, first, chunks)
+        # A generator that has not started ignores ``close``, and the place would stay taken.
+        next(body)
         return Reply(status=answer.status, headers=answer.headers, body=body)
 
     def _read_events(self, assignment: Assignment, answer: UpstreamAnswer) -> Iterator[bytes]:
@@ -640,6 +707,7 @@
         """Yield the events of a stream; if an attempt fails, resume at another endpoint."""
         outcome, reason = "caller left", ""
         try:
+            yield b""
             if first:
                 yield first
             while True:
@@ -662,6 +730,10 @@
             answer.finish()
             self._forwarder.finish(assignment, Outcome.COMPLETED)
             assignment = None
+        except Exception as error:
+            if outcome == "caller left" and not isinstance(error, CallerDisconnectedError):
+                outcome, reason = "fault", repr(error)
+            raise
         finally:
             self._give_back_place()
             self._forwarder.unwatch_caller(self)
@@ -686,6 +758,9 @@
                 self._end_failed_attempt(assignment, resume_error)
                 error = resume_error
                 continue
+            except Exception:
+                self._drop_attempt(assignment)
+                raise
             return assignment, self._answer, reply
 
     def _resume(self, assignment: Assignment) -> Iterator[bytes]:
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -1,15 +1,18 @@
 """Extensions of waitress: problem documents, back pressure, threads on demand and draining."""
 
 import contextlib
+import re
 import socket
 import struct
 import threading
+import time
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
 from waitress import wasyncore
 from waitress.channel import ClientDisconnected, HTTPChannel
-from waitress.parser import HTTPRequestParser
+from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
@@ -25,23 +28,76 @@
 MAX_BACKLOG_BYTES = 64 * KIB
 # Value of SO_LINGER with which closing a socket resets its connection.
 _LINGER_RESET = struct.pack("ii", 1, 0)
+# Pause of the event loop after an unexpected error, which may come back at once.
+LOOP_ERROR_PAUSE_S = 0.05
+
+# Line break within a header, which becomes a space.
+_FOLD = re.compile(r"[ \t]*\r\n[ \t]+")
+
+
+@attrs.frozen(kw_only=True)
+class UnansweredRequest:
+    """A whole request whose connection ends without a complete answer.
+
+    :ivar why: what ended it, one of the constants ``CALLER_CLOSED`` to ``UNHANDLED``.
+    :ivar reason: the exception, empty if there was none.
+    :ivar header_lines: headers as received.
+    :ivar age_s: seconds since its last byte was read.
+    """
+
+    why: str
+    reason: str
+    target: str
+    header_lines: tuple[tuple[str, str], ...]
+    age_s: float
+
+
+# Reasons in ``UnansweredRequest``. The caller closed its connection.
+CALLER_CLOSED = "caller closed"
+# An exception in the event loop closed the connection.
+LOOP_ERROR = "event loop"
+# The host closed the connection while the request was queued or running.
+HOST_CLOSED = "host closed"
+# The application raised an exception or returned too few bytes.
+APPLICATION = "application"
+# The application raised an exception before its answer began, which waitress answers with 500.
+UNHANDLED = "unhandled error"
+# The request was sent behind one whose answer ends the connection.
+EARLIER_ANSWER = "earlier answer"
 
 
 class Parser(HTTPRequestParser):
     """Parser that keeps the original header lines; the WSGI environment renames and joins them.
 
     :ivar header_lines: name and value of each header as received.
+    :ivar completed_at: time at which the request was whole.
     """
 
     header_lines: tuple[tuple[str, str], ...] = ()
+    request_uri = ""
+    completed_at = 0.0
+
+    def received(self, data: bytes) -> int:
+        """Parse the next bytes and return how many belong to this request."""
+        count = super().received(data)
+        if self.completed:
+            self.completed_at = time.monotonic()
+        return count
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the request line and headers.
 
         :raises ParsingError: if they are malformed.
         """
-        super().parse_header(header_plus)
-        lines = header_plus.decode("latin-1").split("\r\n")[1:]
+        try:
+            super().parse_header(header_plus)
+        except ValueError as error:
+            # Raised for targets such as "http://[". In the event loop, it would close the
+            # connection without an answer.
+            raise ParsingError(f"Bad URI: {error}") from error
+        if not self.request_uri.isascii():
+            raise ParsingError("Bad URI: it is not ASCII")
+        lines = _FOLD.sub(" ", header_plus.decode("latin-1")).split("\r\n")[1:]
         pairs = (line.partition(":") for line in lines if line)
         self.header_lines = tuple((name, value.strip(" \t")) for name, _, value in pairs)
 
@@ -67,6 +123,23 @@
         self._max_threads = max_threads
         self.set_thread_count(1)
 
+    def start_new_thread(self, target: Callable, thread_no: int) -> None:
+        """Start a thread; if that fails, the tasks wait for the threads that run.
+
+        An exception would leave the task out of the queue, and its connection would be closed.
+
+        :raises RuntimeError: if no thread runs.
+        """
+        try:
+            super().start_new_thread(target, thread_no)
+        except (RuntimeError, MemoryError) as error:
+            # The caller, which holds the lock, has counted the thread, and counts it as busy next.
+            self.threads.discard(thread_no)
+            self.active_count -= 1
+            if not self.threads:
+                raise
+            self.logger.warning("no thread was started: %r", error)
+
     def add_task(self, task: HTTPChannel) -> None:
         """Queue a task, and start a thread if none is idle."""
         with self.lock:
@@ -80,13 +153,27 @@
 class Task(WSGITask):
     """WSGI task that adds ``OUTPUT_BACKLOGGED`` and ``PARSED_REQUEST`` to the environment.
 
-    A response that is broken off never looks complete, and one to HEAD has no body.
+    A response that is broken off never looks complete, one to HEAD has no body, and one that is not
+    complete is reported; waitress drops each ``OSError`` silently.
     """
 
     @property
     def has_body(self) -> bool:
-        """Return whether a body may follow the head of the response."""
-        return self.request.command != "HEAD" and super().has_body
+        """Return whether a body may follow; that of an answer to HEAD is only announced."""
+        if self.request.command == "HEAD":
+            return self.content_length is not None and not self.wrote_header
+        return super().has_body
+
+    def service(self) -> None:
+        """Run the application and write its answer."""
+        self._error: Exception | None = None
+        self._is_finished = False
+        try:
+            super().service()
+        finally:
+            if not self._is_complete() and not self.channel.is_answered:
+                reason = "" if self._error is None else repr(self._error)
+                self.channel.report_unanswered(self.request, self._find_why(), reason)
 
     def execute(self) -> None:
         """Write the response; if that fails, reset a connection whose end would complete it."""
@@ -94,12 +181,32 @@
         self.logged_write_no_body = self.request.command == "HEAD"
         try:
             super().execute()
-        except Exception:
+        except Exception as error:
+            self._error = error
             has_length = self.chunked_response or self.content_length is not None
             if self.wrote_header and not has_length:
                 self.channel.reset_on_close()
             raise
 
+    def finish(self) -> None:
+        """Write the end of the answer."""
+        super().finish()
+        self._is_finished = True
+
+    def _find_why(self) -> str:
+        if not self.channel.connected:
+            return HOST_CLOSED if self.channel.will_close else CALLER_CLOSED
+        is_answered = self._error and not self.wrote_header and not isinstance(self._error, OSError)
+        return UNHANDLED if is_answered else APPLICATION
+
+    def _is_complete(self) -> bool:
+        is_short = (
+            self.content_length is not None
+            and self.has_body
+            and self.content_bytes_written < self.content_length
+        )
+        return self._is_finished and not is_short
+
     def get_environment(self) -> dict:
         """Return the WSGI environment."""
         environ = super().get_environment()
@@ -162,14 +269,18 @@
     error_task_class = ProblemTask
     parser_class = Parser
 
-    _is_finishing = False
     # Whether the event loop has answered the first request in place of its thread.
-    _is_answered = False
+    is_answered = False
+    _is_finishing = False
     # The request that a thread serves, and whether that thread has begun its answer.
     _running: Parser | None = None
     _has_begun_answer = False
 
     def __init__(self, *args: object, **options: object) -> None:
+        self._has_loop_error = False
+        self._is_serving = False
+        self._seen_activity = 0.0
+        self._idle_since = time.monotonic()
         super().__init__(*args, **options)
         self._answer_lock = threading.Lock()
 
@@ -186,14 +297,39 @@
         if self.readable():
             super().handle_read()
 
+    def writable(self) -> bool:
+        """Whether to wait until output can be sent; not on a closed socket."""
+        return self.socket is not None and super().writable()
+
+    def measure_idle(self, now: float) -> float:
+        """Return the seconds since the call before which the channel was last active.
+
+        :param now: seconds on the monotonic clock.
+        """
+        if self.last_activity != self._seen_activity:
+            self._seen_activity, self._idle_since = self.last_activity, now
+        return now - self._idle_since
+
     def service(self) -> None:
-        """Serve the first queued request; called by a thread of the dispatcher."""
+        """Serve the first queued request; called by a thread of the dispatcher.
+
+        Requests behind it are reported if its answer ends the connection.
+        """
         with self._answer_lock:
-            if self._is_answered:
+            if self.is_answered:
                 return
             request = self._running = self.requests[0]
             self._has_begun_answer = False
-        super().service()
+        self._is_serving = True
+        requests = self.requests
+        try:
+            super().service()
+        finally:
+            self._is_serving = False
+        # waitress replaces the list when it drops the requests behind the first one.
+        if self.requests is not requests:
+            for dropped in requests[1:]:
+                self.report_unanswered(dropped, EARLIER_ANSWER)
         with self._answer_lock:
             # Another thread may already serve the next request.
             if self._running is request:
@@ -208,7 +344,7 @@
         :raises ClientDisconnected: if the event loop has answered the request.
         """
         with self._answer_lock:
-            if self._is_answered:
+            if self.is_answered:
                 raise ClientDisconnected
             self._has_begun_answer = self._has_begun_answer or bool(data)
         return super().write_soon(data)
@@ -228,7 +364,7 @@
             is_running = request is self._running
             if is_running and self._has_begun_answer:
                 return None
-            self._is_answered = True
+            self.is_answered = True
         answered = AnsweredRequest(request, Ran.UNKNOWN if is_running else Ran.NO)
         super().write_soon(answered.render())
         self.close_when_flushed = True
@@ -251,20 +387,84 @@
         with contextlib.suppress(OSError):
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
 
+    def send_continue(self) -> None:
+        """Ask for the body of a request; one without a body, or a refused one, stays complete."""
+        request = self.request
+        is_complete = request.completed
+        super().send_continue()
+        request.completed = is_complete
+
+    def handle_error(self) -> None:
+        """Close the connection after an exception in the event loop."""
+        self._has_loop_error = True
+        super().handle_error()
+
+    def handle_close(self) -> None:
+        """Close the connection, and report its requests if no thread serves them."""
+        if self.connected and not self._is_serving:
+            why = HOST_CLOSED if self.will_close else CALLER_CLOSED
+            for request in list(self.requests):
+                self.report_unanswered(request, LOOP_ERROR if self._has_loop_error else why)
+        super().handle_close()
+
+    def report_unanswered(self, request: Parser, why: str, reason: str = "") -> None:
+        """Report a request that gets no complete answer."""
+        age_s = time.monotonic() - request.completed_at
+        self.server.on_unanswered(
+            UnansweredRequest(
+                why=why,
+                reason=reason,
+                target=request.request_uri,
+                header_lines=request.header_lines,
+                age_s=age_s,
+            )
+        )
+
+
+def _ignore(unanswered: UnansweredRequest) -> None:
+    pass
+
 
 class Server(TcpWSGIServer):
-    """waitress server that disconnects callers that stopped reading, and supports draining."""
+    """waitress server that disconnects callers that stopped reading, and supports draining.
+
+    :ivar on_unanswered: called for each whole request that gets no complete answer, by the thread
+        of the event loop or of the request; must not raise.
+    """
 
     channel_class = Channel
     _is_finishing = False
+    on_unanswered: Callable[[UnansweredRequest], None] = staticmethod(_ignore)
+
+    def run(self) -> None:
+        """Run the event loop until all its sockets are closed, also after an unexpected error."""
+        while True:
+            try:
+                super().run()
+                return
+            except Exception:
+                self.logger.exception("error in the event loop")
+                time.sleep(LOOP_ERROR_PAUSE_S)
+
+    def handle_error(self) -> None:
+        """Log an error while a connection is accepted; the default closes the listening socket."""
+        self.logger.exception("a connection was not accepted")
 
     def maintenance(self, now: float) -> None:
-        """Close idle channels, and those without output progress for ``channel_timeout``."""
-        super().maintenance(now)
-        cutoff = now - self.adj.channel_timeout
-        for channel in self.active_channels.values():
-            if channel.total_outbufs_len and channel.last_activity < cutoff:
+        """Close idle channels, and those without output progress for ``channel_timeout``.
+
+        waitress compares times of day, and a step of the clock would close connections that are in
+        use.
+        """
+        monotonic_now = time.monotonic()
+        for channel in list(self.active_channels.values()):
+            is_unused = not channel.requests or channel.total_outbufs_len
+            idle_s = channel.measure_idle(monotonic_now)
+            if is_unused and idle_s >= self.adj.channel_timeout:
                 channel.will_close = True
+                # The event loop closes a channel when it can be written to, which one whose
+                # caller reads nothing never can.
+                channel.handle_close()
 
     def stop_accepting(self) -> None:
         """Accept the connections in the backlog, then close the listening socket.
--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 import os
+import re
 import socket
 import struct
 import unittest
@@ -370,7 +371,10 @@
                     expected = (status, b"", True)
                     self.assertEqual((received.status, received.body, received.is_whole), expected)
                     # No header may announce a body of another size than that of the endpoint.
-                    self.assertNotIn(b"content-length", received.head.lower())
+                    lengths = re.findall(rb"content-length: *(\d+)", received.head.lower())
+                    is_announced = method == "HEAD" and framing == "length"
+                    expected_lengths = [str(len(PLAIN_BODY)).encode()] if is_announced else []
+                    self.assertEqual(lengths, expected_lengths)
 
     def test_refusal_of_a_head_request_has_no_body(self) -> None:
         """Bytes after the head of an answer to HEAD would be read as the next answer."""
