Take a kept connection that ends for a crash only if its endpoint refuses connections

When a kept connection ends in place of an answer, one new connection tells whether the endpoint is there. test_forgotten_connections_are_no_crashes failed before: the outcome of these attempts was 'crashed'.

A scheduler that records a crash late no longer leaves the attempt unfinished (found by the review).

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -133,16 +133,11 @@
 
     def is_endpoint_down(self, assignment: Assignment) -> bool:
         """Return whether the endpoint of an attempt refuses connections."""
-        host, port = split_address(assignment.endpoint.address)
         for check in range(DOWN_CHECKS):
             if check:
                 time.sleep(DOWN_CHECK_INTERVAL_S)
-            try:
-                socket.create_connection((host, port), DOWN_CHECK_TIMEOUT_S).close()
-            except ConnectionRefusedError:
+            if _refuses_connections(assignment.endpoint.address):
                 return True
-            except OSError:
-                return False
         return False
 
     def cancel_attempt(self) -> None:
@@ -236,9 +231,19 @@
             outcome = Outcome.BROKEN if ran is Ran.NO else _find_outcome(error)
             if self._is_aborted:
                 outcome = Outcome.CANCELLED
+            elif outcome is Outcome.CRASHED and connection.is_reused:
+                outcome = self._check_crash()
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._process_head()
 
+    def _check_crash(self) -> Outcome:
+        """Return the outcome after a kept connection ended instead of an answer.
+
+        Endpoints may drop idle connections without notice and go on.
+        """
+        is_down = _refuses_connections(self._endpoint.address)
+        return Outcome.CRASHED if is_down else Outcome.BROKEN
+
     def _wait_for_head(self, timeout_s: float, may_leave: Callable[[], bool]) -> None:
         sock = self._connection.sock
 
@@ -468,6 +473,16 @@
         return AttemptError(STEP, peer, f"endpoint {reason}", ran, status, outcome, fault)
 
 
+def _refuses_connections(address: str) -> bool:
+    try:
+        socket.create_connection(split_address(address), DOWN_CHECK_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _find_outcome(error: Exception) -> Outcome:
     """Return the outcome of an attempt that may have run and whose connection failed.
 
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -1,5 +1,6 @@
 """Forwarding of a host's requests: attempts at endpoints, retries and resumed streams."""
 
+import contextlib
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -307,9 +308,11 @@
         :param has_started: whether the endpoint had started to answer.
         """
         now = time.monotonic()
-        self._scheduler.ask(
-            lambda scheduler: scheduler.record_crash(assignment.attempt, has_started, now)
-        )
+        # After a timeout, the crash is recorded later, and the attempt still has to be finished.
+        with contextlib.suppress(pykka.Timeout):
+            self._scheduler.ask(
+                lambda scheduler: scheduler.record_crash(assignment.attempt, has_started, now)
+            )
         if has_started:
             self._on_crash()
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -33,6 +33,26 @@
         for _ in range(KEPT):
             self.assertEqual(self.send_request("GET", "/look/x")[0].status, 200)
 
+    def test_forgotten_connections_are_no_crashes(self) -> None:
+        """Guards against an endpoint that is left out, and a request that is refused everywhere.
+
+        An endpoint that drops an idle connection resets what is sent on it next.
+        """
+        for endpoint in self.plain_endpoints:
+            endpoint.forgets_connections = True
+        for _ in range(KEPT):
+            self.assertEqual(self.send_request("GET", "/look/x")[0].status, 200)
+        forgotten = self.count_attempts("broken")
+        self.assertGreater(forgotten, 1)
+        self.assertEqual(self.count_attempts("crashed"), 0)
+        events = self.host._scheduler.ask(lambda s: s.suspects.events(time.monotonic()))
+        self.assertEqual(events, [])
+
+    def count_attempts(self, outcome: str) -> float:
+        labels = {"service": "desk", "outcome": outcome}
+        name = "catkinhook_failed_attempts_total"
+        return self.host.metrics.registry.get_sample_value(name, labels) or 0.0
+
     def test_line_breaks_between_requests_are_skipped(self) -> None:
         """Line breaks after a body, which older callers send, must not cost the next request."""
         for breaks in ("\r\n", "\r\n\r\n"):
