Say so when a host of an earlier version lists no quarantines

'catkinhook quarantines' printed the readiness of such a host and ended with 0 (found by the review). It now checks that the answer is a list, and an answer that is no JSON counts as unreachable. The command has a test.

--- a/catkinhook/cli.py
+++ b/catkinhook/cli.py
@@ -107,10 +107,15 @@
         answer = urllib3.request(
             method, url, fields=fields, timeout=OPERATOR_TIMEOUT_S, retries=False
         )
-    except urllib3.exceptions.HTTPError as error:
-        print(f"host {address} can't be reached: {error}", file=sys.stderr)
+        value = answer.json()
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        print(f"host {address} gave no answer: {error}", file=sys.stderr)
         return commands.ExitCode.UNREACHABLE
-    print(json.dumps(answer.json(), indent=2))
+    if not lift and not isinstance(value, list):
+        # Earlier versions answer every request with their readiness.
+        print(f"host {address} doesn't list quarantines", file=sys.stderr)
+        return EXIT_FAILED
+    print(json.dumps(value, indent=2))
     return EXIT_OK if answer.status == 200 else EXIT_FAILED
 
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import io
 import json
 import socket
 import threading
@@ -13,6 +14,7 @@
 
 import attrs
 
+from catkinhook import cli
 from catkinhook.host import Host
 from catkinhook.hostsettings import Bounds
 from catkinhook.platform.assembly import make_platform
@@ -179,6 +181,12 @@
         answer = connection.getresponse()
         return answer.status, json.loads(answer.read())
 
+    def run_command(self) -> tuple[int, list[str]]:
+        """Run the operators' command, and return its exit code and the listed parts."""
+        with contextlib.redirect_stdout(io.StringIO()) as output:
+            code = cli.quarantines(self.settings.ready_address)
+        return code, [listed["parts"] for listed in json.loads(output.getvalue())]
+
     def list_quarantines(self) -> object:
         return self.call_operator("GET", "/quarantines")[1]
 
@@ -186,6 +194,7 @@
         """Guards against a part that stays refused after its fault was mended."""
         self.crash_engines()
         (listed,) = self.list_quarantines()
+        self.assertEqual(self.run_command(), (0, [listed["parts"]]))
         self.assertEqual(listed["parts"], f"llm/{DEADLY}")
         self.assertIn("s ago", listed["crashes"])
         for engine in self.engines:
