--- a/catkinhook/requests/partquarantine.py
+++ b/catkinhook/requests/partquarantine.py
@@ -316,6 +316,11 @@
         ]
 
     def _covers(self, quarantine: Quarantine, units: frozenset[str]) -> bool:
+        """Return whether a request has all units of a quarantine that are not known to be sound.
+
+        If each was answered since the crashes, but no request with all of them, only such requests
+        are covered.
+        """
         unanswered = [
             unit
             for unit in quarantine.units
--- a/interfaces/catkinhook.thrift
+++ b/interfaces/catkinhook.thrift
@@ -15,6 +15,8 @@
   9: bool leaving,
 }
 
+// Event about a request that may crash endpoints. Between hosts also one about parts of prompts, whose
+// kind begins with "part-": fingerprint then names the parts, and sequence counts their quarantines.
 struct Suspect {
   1: string fingerprint,     // of model, adapter and body
   2: string model,
