Let two tests of earlier refusals meet retries on new connections

Their fakes now bring the same faults about on such connections: the earlier refusal precedes the answer to a resume on any connection, and an endpoint writes a refusal without id on kept connections only and drops new ones. What the tests ask for is unchanged. Both still fail if the host believes such refusals: with the check of ids left out for kept connections the second one fails with '3 != 2', without any check the first one fails.

--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -36,10 +36,12 @@
     :ivar repeat: when the earlier refusal is written again: ``""`` for never, ``appended`` to the
         refusal, ``split`` (half of it appended to the refusal, the rest before the next answer),
         ``idle`` (while the connection is idle), ``sent`` (before the next answer on the
-        connection), ``late`` (the same, after a pause), ``resume`` (before the answer to a resume),
-        ``other-connection`` (before the answers on later connections).
+        connection), ``late`` (the same, after a pause), ``resume`` (before the answer to a resume,
+        on any connection), ``other-connection`` (before the answers on later connections).
     :ivar has_id: whether refusals carry the id of their request.
     :ivar prefix: makes the bytes to write before each answer from the id of the request.
+    :ivar kept_prefix: bytes to write before each answer on a connection that was used before.
+    :ivar drops_new: whether the first request on each connection is run and not answered.
     :ivar last_chunk: bytes to write where the last chunk of a stream is due.
     :ivar run_ids: ids of the requests that ran.
     :ivar refused: number of requests that were refused.
@@ -52,7 +54,10 @@
         self.repeat = ""
         self.has_id = True
         self.prefix = lambda request_id: b""
+        self.kept_prefix = b""
+        self.drops_new = False
         self.last_chunk = LAST_CHUNK
+        self._used_ports: set[int] = set()
         self.run_ids: list[str] = []
         self.refused = 0
         self.run_ports: list[int] = []
@@ -62,14 +67,19 @@
 
     def _handle_request(self, request: BaseHTTPRequestHandler) -> None:
         request_id, port = request.headers["Attempt-Id"], request.client_address[1]
+        is_kept = port in self._used_ports
+        self._used_ports.add(port)
         try:
             if self._must_refuse(request.path, request_id):
                 self._refuse(request, request_id, port)
                 return
             self.run_ids.append(request_id)
             self.run_ports.append(port)
+            if self.drops_new and not is_kept:
+                request.close_connection = True
+                return
             self._write_earlier_refusal(request, port)
-            request.wfile.write(self.prefix(request_id))
+            request.wfile.write(self.prefix(request_id) + (self.kept_prefix if is_kept else b""))
             super()._handle_request(request)
         except OSError:
             request.close_connection = True  # the host closed the connection
@@ -100,14 +110,14 @@
             request.wfile.write(refusal)
 
     def _write_earlier_refusal(self, request: BaseHTTPRequestHandler, port: int) -> None:
-        if self.repeat == "other-connection":
+        is_resume = self.repeat == "resume" and request.headers["Last-Event-Id"]
+        if self.repeat == "other-connection" or is_resume:
             request.wfile.write(next(iter(self._earlier_by_port.values()), b""))
             return
         earlier = self._earlier_by_port.pop(port, b"")
         if self.repeat == "late":
             time.sleep(PAUSE_S)
-        is_due = self.repeat in ("split", "sent", "late")
-        if is_due or (self.repeat == "resume" and request.headers["Last-Event-Id"]):
+        if self.repeat in ("split", "sent", "late"):
             request.wfile.write(earlier)
 
 
@@ -242,7 +252,10 @@
         """Guards against taking an earlier refusal without an id for that of this request."""
         self.refuse_earlier_request(self.plain_endpoints, "/look/refused")
         for endpoint in self.plain_endpoints:
-            endpoint.prefix = lambda request_id: render_refusal()
+            endpoint.kept_prefix = render_refusal()
+            # A retry uses a new connection, and a third attempt follows only if the first one
+            # counts as not run.
+            endpoint.drops_new = True
         answer, _ = self.send_request("POST", "/look/x", b"p")
         self.check_unknown(answer.status, self.plain_endpoints, MAX_ATTEMPTS)
 
