Parse runs of spaces in headers in linear time

Callers saw the host stand still: one request with a run of 60 KiB of spaces in a header held the event loop and the interpreter for seconds, and all other requests with it. The pattern for folded lines was tried anew from each space of the run.

The pattern now begins only at the first space of a run.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -31,8 +31,9 @@
 # Pause of the event loop after an unexpected error, which may come back at once.
 LOOP_ERROR_PAUSE_S = 0.05
 
-# Line break within a header, which becomes a space.
-_FOLD = re.compile(r"[ \t]*\r\n[ \t]+")
+# Line break within a header, which becomes a space. Without the lookbehind, the time is quadratic in
+# the length of a run of spaces.
+_FOLD = re.compile(r"(?:(?<![ \t])[ \t]+)?\r\n[ \t]+")
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/test_odd_connections.py
@@ -0,0 +1,41 @@
+"""Odd requests and unexpected ends of connections of the HTTP server."""
+
+import time
+import unittest
+
+from waitress.adjustments import Adjustments
+
+from catkinhook.platform.upstream import _FOLD as UPSTREAM_FOLD
+from catkinhook.units import KIB
+from catkinhook.wsgiserver import Parser
+
+# Time for one head of 60 KiB. A quadratic pattern takes several seconds, a linear one 1 ms.
+PARSE_S = 0.5
+
+
+def parse(data: bytes) -> Parser:
+    """Return the parser of a request."""
+    parser = Parser(Adjustments())
+    while data:
+        data = data[parser.received(data) :]
+        if parser.completed:
+            break
+    return parser
+
+
+class ParserTest(unittest.TestCase):
+    """Heads of requests that are odd or made to harm."""
+
+    def test_run_of_spaces_does_not_block_the_event_loop(self) -> None:
+        """One request must not stop the event loop, and with it all requests, for seconds."""
+        began = time.process_time()
+        parser = parse(b"GET / HTTP/1.1\r\nX-A: a" + b" " * (60 * KIB) + b"b\r\n\r\n")
+        self.assertLess(time.process_time() - began, PARSE_S)
+        self.assertIsNone(parser.error)
+
+    def test_run_of_spaces_of_an_endpoint_does_not_block_the_host(self) -> None:
+        """A header of an endpoint must not hold the interpreter for seconds."""
+        began = time.process_time()
+        UPSTREAM_FOLD.sub(" ", "a" + " " * (60 * KIB) + "b")
+        self.assertLess(time.process_time() - began, PARSE_S)
+        self.assertEqual(UPSTREAM_FOLD.sub(" ", "a \t\r\n\t b\n c  d"), "a b c  d")
