Refuse chunks in requests of other versions than HTTP/1.1

A request of HTTP/1.0, HTTP/1.2 or without a version whose body came in chunks was run without its body, and on a kept connection the body was read as the next request, so that a request could be smuggled. waitress reads Transfer-Encoding only in HTTP/1.1 and ignores it otherwise.

The parser now refuses such a request with 400, and the refusal ends its connection, so nothing behind it is served.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -98,6 +98,10 @@
             raise ParsingError(f"Bad URI: {error}") from error
         if not self.request_uri.isascii():
             raise ParsingError("Bad URI: it is not ASCII")
+        # waitress reads chunks only in HTTP/1.1. In other versions it would take the request for one
+        # without a body, and the body for the next request.
+        if "TRANSFER_ENCODING" in self.headers:
+            raise ParsingError("Transfer-Encoding needs HTTP/1.1")
         lines = _FOLD.sub(" ", header_plus.decode("latin-1")).split("\r\n")[1:]
         pairs = (line.partition(":") for line in lines if line)
         self.header_lines = tuple((name, value.strip(" \t")) for name, _, value in pairs)
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -39,3 +39,13 @@
         UPSTREAM_FOLD.sub(" ", "a" + " " * (60 * KIB) + "b")
         self.assertLess(time.process_time() - began, PARSE_S)
         self.assertEqual(UPSTREAM_FOLD.sub(" ", "a \t\r\n\t b\n c  d"), "a b c  d")
+
+    def test_body_in_chunks_needs_http_1_1(self) -> None:
+        """A body in chunks must not be dropped, and then be read as a further request."""
+        body = b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+        for version in (b" HTTP/1.0", b" HTTP/1.2", b""):
+            parser = parse(b"POST /x" + version + b"\r\nConnection: keep-alive\r\n" + body)
+            self.assertEqual(getattr(parser.error, "code", None), 400, version)
+        parser = parse(b"POST /x HTTP/1.1\r\n" + body)
+        self.assertIsNone(parser.error)
+        self.assertEqual(parser.get_body_stream().read(), b"hello")
