Refuse targets with control characters instead of trying all endpoints

A target such as "/look/a\x01b" was answered with 503, which invites the caller to repeat it: the HTTP client refuses to send it, and that error counted as a failed attempt at each endpoint, though none had been asked.

The test failed before: "AssertionError: 503 != 400". The parser now refuses such a target with 400 as it does one that is not ASCII, so that it reaches no endpoint's record.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -96,8 +96,9 @@
             # Raised for targets such as "http://[". In the event loop, it would close the
             # connection without an answer.
             raise ParsingError(f"Bad URI: {error}") from error
-        if not self.request_uri.isascii():
-            raise ParsingError("Bad URI: it is not ASCII")
+        # http.client would refuse to send a target with control characters.
+        if not (self.request_uri.isascii() and self.request_uri.isprintable()):
+            raise ParsingError("Bad URI: it is not printable ASCII")
         # waitress reads chunks only in HTTP/1.1. In other versions it would take the request for one
         # without a body, and the body for the next request.
         if "TRANSFER_ENCODING" in self.headers:
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -8,6 +8,7 @@
 from catkinhook.platform.upstream import _FOLD as UPSTREAM_FOLD
 from catkinhook.units import KIB
 from catkinhook.wsgiserver import Parser
+from tests.connectioncase import HEADERS, ConnectionCase
 
 # Time for one head of 60 KiB. A quadratic pattern takes several seconds, a linear one 1 ms.
 PARSE_S = 0.5
@@ -49,3 +50,14 @@
         parser = parse(b"POST /x HTTP/1.1\r\n" + body)
         self.assertIsNone(parser.error)
         self.assertEqual(parser.get_body_stream().read(), b"hello")
+
+
+class OddTargetTest(ConnectionCase):
+    """A host whose callers send targets that can't be passed on."""
+
+    def test_target_with_control_characters_is_refused(self) -> None:
+        """It is the caller's fault: no endpoint is tried, and none is blamed."""
+        for target in ("/look/a\x01b", "/look/a\x7fb", "/look/a\tb"):
+            status, _ = self.exchange(f"GET {target} HTTP/1.1\r\n{HEADERS}\r\n")
+            self.check_nothing_is_held()
+            self.assertEqual(status, 400, target)
