Answer requests without a version of HTTP with a valid status line at the end of a stop

A queued request whose request line has no version got "HTTP/ 503 Service Unavailable" when the process ended, which is no answer in the protocol; one of HTTP/1.2 got a status line of that version.

The test failed before: "b'HTTP/ 503 Ser' != b'HTTP/1.0 503 '". The answer now has the version that waitress chooses for the other answers to such a request.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -259,8 +259,10 @@
         status = self.status
         reason = "the process ends before the answer is complete"
         body = render_problem(Refusal("http", "", reason, "stopping", status, self.ran))
+        # A request may have another version or none.
+        version = "1.1" if self.request.version == "1.1" else "1.0"
         head = (
-            f"HTTP/{self.request.version} {status.value} {status.phrase}\r\nConnection: close\r\n"
+            f"HTTP/{version} {status.value} {status.phrase}\r\nConnection: close\r\n"
             f"Content-Type: {PROBLEM_CONTENT_TYPE}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         # A request whose head is malformed has no command.
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -1,14 +1,18 @@
 """Odd requests and unexpected ends of connections of the HTTP server."""
 
+import socket
+import threading
 import time
 import unittest
+from collections.abc import Callable, Iterator
 
 from waitress.adjustments import Adjustments
 
 from catkinhook.platform.upstream import _FOLD as UPSTREAM_FOLD
 from catkinhook.units import KIB
-from catkinhook.wsgiserver import Parser
+from catkinhook.wsgiserver import OnDemandDispatcher, Parser, Server, UnansweredRequest
 from tests.connectioncase import HEADERS, ConnectionCase
+from tests.hostcase import WAIT_S, wait_until
 
 # Time for one head of 60 KiB. A quadratic pattern takes several seconds, a linear one 1 ms.
 PARSE_S = 0.5
@@ -61,3 +65,77 @@
             status, _ = self.exchange(f"GET {target} HTTP/1.1\r\n{HEADERS}\r\n")
             self.check_nothing_is_held()
             self.assertEqual(status, 400, target)
+
+
+class ConnectionEndTest(unittest.TestCase):
+    """Connections that end while their requests are queued or being answered."""
+
+    def start_server(self, application: Callable, threads: int = 1, **options: object) -> Server:
+        """Start a server; it stops with the test."""
+        server = Server(
+            application,
+            map={},
+            host="127.0.0.1",
+            port=0,
+            dispatcher=OnDemandDispatcher(threads),
+            asyncore_use_poll=True,
+            channel_request_lookahead=1,
+            send_bytes=1,
+            **options,
+        )
+        self.unanswered: list[UnansweredRequest] = []
+        server.on_unanswered = self.unanswered.append
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, WAIT_S)
+        self.addCleanup(server.shut_down)
+        return server
+
+    def connect(self, server: Server) -> socket.socket:
+        """Open a connection to a server."""
+        connection = socket.create_connection(("127.0.0.1", int(server.effective_port)), WAIT_S)
+        self.addCleanup(connection.close)
+        return connection
+
+    def hold_answers(self) -> Callable:
+        """Return an application that writes one part of a body without a length and waits."""
+        self.release = threading.Event()
+        self.addCleanup(self.release.set)
+
+        def answer(environ: dict, start_response: Callable) -> Iterator[bytes]:
+            start_response("200 OK", [])
+            yield b"part"
+            self.release.wait(WAIT_S)
+            yield b"end"
+
+        return answer
+
+    def read_head_and_part(self, connection: socket.socket) -> None:
+        """Read until the first part of the body has come."""
+        data = b""
+        while b"part" not in data:
+            received = connection.recv(100)
+            self.assertTrue(received, data)
+            data += received
+
+    def test_answer_at_the_end_of_a_stop_has_a_version_of_http(self) -> None:
+        """An answer must begin with a status line that callers can read."""
+        for version in ("", " HTTP/1.0", " HTTP/1.2", " HTTP/1.1"):
+            server = self.start_server(self.hold_answers())
+            running = self.connect(server)
+            running.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            self.read_head_and_part(running)
+            queued = self.connect(server)
+            queued.sendall(f"GET /{version}\r\nHost: h\r\n\r\n".encode())
+            self.wait_for_requests(server, 2)
+            answered = server.answer_unfinished(WAIT_S)
+            self.assertEqual([request.status.value for request in answered], [503])
+            expected = b"HTTP/1.1 503 " if version == " HTTP/1.1" else b"HTTP/1.0 503 "
+            with self.subTest(version):
+                self.assertEqual(queued.recv(len(expected)), expected)
+            self.release.set()
+
+    def wait_for_requests(self, server: Server, count: int) -> None:
+        """Wait until the server has read so many requests."""
+        channels = server.active_channels
+        wait_until(lambda: sum(len(c.requests) for c in list(channels.values())) == count)
