Do not report a request that the event loop answered as unanswered

Operators saw a request that waited for a thread at the end of a stop twice: as answered by the stop and as one whose connection the host closed without an answer. No thread takes such a request from its channel, and the close reported all requests that were left.

The test failed before: "Lists differ: ['/queued'] != []". The close now leaves out the request that the event loop has answered; those behind it are still reported.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -411,7 +411,8 @@
         """Close the connection, and report its requests if no thread serves them."""
         if self.connected and not self._is_serving:
             why = HOST_CLOSED if self.will_close else CALLER_CLOSED
-            for request in list(self.requests):
+            # The event loop answers only the first request.
+            for request in self.requests[1:] if self.is_answered else list(self.requests):
                 self.report_unanswered(request, LOOP_ERROR if self._has_loop_error else why)
         super().handle_close()
 
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -135,6 +135,20 @@
                 self.assertEqual(queued.recv(len(expected)), expected)
             self.release.set()
 
+    def test_request_answered_at_the_end_of_a_stop_is_not_reported(self) -> None:
+        """Counts and log lines of requests without an answer must not contain answered ones."""
+        server = self.start_server(self.hold_answers())
+        running = self.connect(server)
+        running.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        self.read_head_and_part(running)
+        queued = self.connect(server)
+        queued.sendall(b"GET /queued HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.wait_for_requests(server, 2)
+        server.answer_unfinished(WAIT_S)
+        while queued.recv(1000):
+            pass
+        self.assertEqual([request.target for request in self.unanswered], [])
+
     def wait_for_requests(self, server: Server, count: int) -> None:
         """Wait until the server has read so many requests."""
         channels = server.active_channels
