Log no error when a caller without chunks leaves during its answer

Each caller of HTTP/1.0 that left during an answer without a length left a traceback in the log, "AttributeError: 'NoneType' object has no attribute 'setsockopt'": the request's thread wanted to reset a connection that the event loop had closed.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -392,8 +392,12 @@
 
         A caller with HTTP/1.0 gets no chunks, so a stream ends with its connection.
         """
+        # The event loop sets it to None when it closes the connection.
+        sock = self.socket
+        if sock is None:
+            return
         with contextlib.suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
 
     def send_continue(self) -> None:
         """Ask for the body of a request; one without a body, or a refused one, stays complete."""
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 from collections.abc import Callable, Iterator
+from unittest import mock
 
 from waitress.adjustments import Adjustments
 
@@ -118,6 +119,20 @@
             self.assertTrue(received, data)
             data += received
 
+    def test_caller_without_chunks_that_leaves_causes_no_error(self) -> None:
+        """A caller of HTTP/1.0 that leaves during its answer must not be logged as a fault."""
+        server = self.start_server(self.hold_answers())
+        connection = self.connect(server)
+        connection.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        self.read_head_and_part(connection)
+        channel = next(iter(server.active_channels.values()))
+        with mock.patch.object(channel, "logger") as logger:
+            connection.close()
+            wait_until(lambda: channel.socket is None)
+            self.release.set()
+            wait_until(lambda: not channel.requests)
+        logger.exception.assert_not_called()
+
     def test_answer_at_the_end_of_a_stop_has_a_version_of_http(self) -> None:
         """An answer must begin with a status line that callers can read."""
         for version in ("", " HTTP/1.0", " HTTP/1.2", " HTTP/1.1"):
