Report a cut request once when two threads serve its channel one after the other

A request read behind another one could be counted twice as unanswered: the thread of the first request marked the channel as not being served after another thread had begun the second one, so the close reported a request that its own thread reported too.

The test failed before: "Lists differ: ['/2', '/2'] != ['/2']". Whether a thread serves the channel is now told by the request that runs, which only the thread of that request clears, under the lock.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -286,7 +286,6 @@
 
     def __init__(self, *args: object, **options: object) -> None:
         self._has_loop_error = False
-        self._is_serving = False
         self._seen_activity = 0.0
         self._idle_since = time.monotonic()
         super().__init__(*args, **options)
@@ -328,20 +327,19 @@
                 return
             request = self._running = self.requests[0]
             self._has_begun_answer = False
-        self._is_serving = True
         requests = self.requests
+        dropped: list[Parser] = []
         try:
             super().service()
         finally:
-            self._is_serving = False
-        # waitress replaces the list when it drops the requests behind the first one.
-        if self.requests is not requests:
-            for dropped in requests[1:]:
-                self.report_unanswered(dropped, EARLIER_ANSWER)
-        with self._answer_lock:
-            # Another thread may already serve the next request.
-            if self._running is request:
-                self._running = None
+            with self._answer_lock:
+                # Otherwise another thread already serves the next request.
+                if self._running is request:
+                    self._running = None
+                    # waitress replaces the list when it drops the requests behind the first one.
+                    dropped = requests[1:] if self.requests is not requests else []
+        for later_request in dropped:
+            self.report_unanswered(later_request, EARLIER_ANSWER)
         if self._is_finishing and not self.requests:
             self.close_when_flushed = True
             self.server.pull_trigger()
@@ -413,7 +411,7 @@
 
     def handle_close(self) -> None:
         """Close the connection, and report its requests if no thread serves them."""
-        if self.connected and not self._is_serving:
+        if self.connected and self._running is None:
             why = HOST_CLOSED if self.will_close else CALLER_CLOSED
             # The event loop answers only the first request.
             for request in self.requests[1:] if self.is_answered else list(self.requests):
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -164,6 +164,41 @@
             pass
         self.assertEqual([request.target for request in self.unanswered], [])
 
+    def test_cut_request_is_reported_once_while_its_predecessor_ends(self) -> None:
+        """The thread of an answered request must not mark the next one as not being served."""
+        is_second_running, may_end = threading.Event(), threading.Event()
+        self.addCleanup(may_end.set)
+
+        def answer(environ: dict, start_response: Callable) -> list[bytes]:
+            if environ["PATH_INFO"] == "/2":
+                is_second_running.set()
+                may_end.wait(WAIT_S)
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        server = self.start_server(answer, threads=2)
+        pull_trigger = server.pull_trigger
+
+        def wait_for_second() -> None:
+            # The last step of the first thread comes once the second one runs.
+            is_second_running.wait(WAIT_S)
+            pull_trigger()
+
+        server.pull_trigger = wait_for_second
+        connection = self.connect(server)
+        connection.sendall(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        self.assertTrue(is_second_running.wait(WAIT_S))
+        channel = next(iter(server.active_channels.values()))
+        pulled = threading.Event()
+        # The first thread has nothing left to wait for.
+        time.sleep(0.1)
+        server.trigger.pull_trigger(channel.handle_close)
+        server.trigger.pull_trigger(pulled.set)
+        self.assertTrue(pulled.wait(WAIT_S))
+        may_end.set()
+        server.task_dispatcher.shutdown(timeout=WAIT_S)
+        self.assertEqual([request.target for request in self.unanswered], ["/2"])
+
     def wait_for_requests(self, server: Server, count: int) -> None:
         """Wait until the server has read so many requests."""
         channels = server.active_channels
