Reset each connection that ends within an answer without length and chunks

To a caller with HTTP/1.0, a stream or another answer without a length looked whole when the host closed its connection in the middle: at the exit at the end of a stop, on a kill, after an error in the event loop, and when the caller had stopped reading. Only an exception of the application reset the connection; all other ways to close it sent an ordinary end.

The test failed before, for the shutdown and for a close by the event loop: "b'' is not None : the answer looks whole". The socket is now set to be reset from the moment the head of such an answer is written, which the kernel also does when the process ends, and back once all of the answer was passed to the kernel. A second test shows that a whole answer still ends without a reset.

--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -28,6 +28,7 @@
 MAX_BACKLOG_BYTES = 64 * KIB
 # Value of SO_LINGER with which closing a socket resets its connection.
 _LINGER_RESET = struct.pack("ii", 1, 0)
+_LINGER_OFF = struct.pack("ii", 0, 0)
 # Pause of the event loop after an unexpected error, which may come back at once.
 LOOP_ERROR_PAUSE_S = 0.05
 
@@ -182,22 +183,27 @@
                 self.channel.report_unanswered(self.request, self._find_why(), reason)
 
     def execute(self) -> None:
-        """Write the response; if that fails, reset a connection whose end would complete it."""
+        """Write the response."""
         # waitress logs a warning for each body that it drops.
         self.logged_write_no_body = self.request.command == "HEAD"
         try:
             super().execute()
         except Exception as error:
             self._error = error
-            has_length = self.chunked_response or self.content_length is not None
-            if self.wrote_header and not has_length:
-                self.channel.reset_on_close()
             raise
 
+    def build_response_header(self) -> bytes:
+        """Return the head; if the end of the connection ends the body, let it be a reset first."""
+        head = super().build_response_header()
+        has_end = self.chunked_response or self.content_length is not None
+        if self.has_body and not has_end:
+            self.channel.reset_until_whole()
+        return head
+
     def finish(self) -> None:
         """Write the end of the answer."""
         super().finish()
-        self._is_finished = True
+        self._is_finished = self.channel.has_whole_answer = True
 
     def _find_why(self) -> str:
         if not self.channel.connected:
@@ -277,6 +283,9 @@
     error_task_class = ProblemTask
     parser_class = Parser
 
+    # Whether the answer that ``reset_until_whole`` protects was written to its end.
+    has_whole_answer = True
+    _resets = False
     # Whether the event loop has answered the first request in place of its thread.
     is_answered = False
     _is_finishing = False
@@ -385,17 +394,23 @@
         if not self.requests:
             self.close_when_flushed = True
 
-    def reset_on_close(self) -> None:
-        """Let the close reset the connection; the caller may then miss bytes that it has not read.
+    def reset_until_whole(self) -> None:
+        """Let each close reset the connection until all of the present answer was sent.
 
-        A caller with HTTP/1.0 gets no chunks, so a stream ends with its connection.
+        The end of its connection completes an answer without length and chunks, such as a stream to
+        a caller with HTTP/1.0. The kernel also resets the connection if the process ends. The
+        caller may then miss bytes that it has not read.
         """
+        self.has_whole_answer, self._resets = False, True
+        self._set_linger(_LINGER_RESET)
+
+    def _set_linger(self, value: bytes) -> None:
         # The event loop sets it to None when it closes the connection.
         sock = self.socket
         if sock is None:
             return
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     def send_continue(self) -> None:
         """Ask for the body of a request; one without a body, or a refused one, stays complete."""
@@ -411,6 +426,8 @@
 
     def handle_close(self) -> None:
         """Close the connection, and report its requests if no thread serves them."""
+        if self._resets and self.has_whole_answer and not self.total_outbufs_len:
+            self._set_linger(_LINGER_OFF)
         if self.connected and self._running is None:
             why = HOST_CLOSED if self.will_close else CALLER_CLOSED
             # The event loop answers only the first request.
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -119,6 +119,38 @@
             self.assertTrue(received, data)
             data += received
 
+    def test_answer_without_chunks_that_the_server_cuts_does_not_look_whole(self) -> None:
+        """The end of the connection completes such an answer, so a cut must reset it."""
+
+        def shut_down(server: Server) -> None:
+            server.shut_down()
+
+        def give_up(server: Server) -> None:
+            channel = next(iter(server.active_channels.values()))
+            server.trigger.pull_trigger(channel.handle_close)
+
+        for cut in (shut_down, give_up):
+            server = self.start_server(self.hold_answers())
+            connection = self.connect(server)
+            connection.sendall(b"GET / HTTP/1.0\r\n\r\n")
+            self.read_head_and_part(connection)
+            cut(server)
+            with self.subTest(cut.__name__), self.assertRaises(ConnectionResetError):
+                self.assertIsNone(connection.recv(100), "the answer looks whole")
+            self.release.set()
+
+    def test_whole_answer_without_chunks_ends_without_a_reset(self) -> None:
+        """A reset could cost the caller the end of a whole answer."""
+        server = self.start_server(self.hold_answers())
+        connection = self.connect(server)
+        connection.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        self.read_head_and_part(connection)
+        self.release.set()
+        data = b""
+        while part := connection.recv(100):
+            data += part
+        self.assertEqual(data, b"end")
+
     def test_caller_without_chunks_that_leaves_causes_no_error(self) -> None:
         """A caller of HTTP/1.0 that leaves during its answer must not be logged as a fault."""
         server = self.start_server(self.hold_answers())
@@ -203,3 +235,7 @@
         """Wait until the server has read so many requests."""
         channels = server.active_channels
         wait_until(lambda: sum(len(c.requests) for c in list(channels.values())) == count)
+
+
+if __name__ == "__main__":
+    unittest.main()
