--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -54,8 +54,8 @@
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
 _BODILESS = frozenset({204, 304})
 
-# Line break within a header, which becomes a space. Without the lookbehind, the time is quadratic in
-# the length of a run of spaces.
+# Line break within a header, which becomes a space. Without the lookbehind, the time is quadratic
+# in the length of a run of spaces.
 _FOLD = re.compile(r"(?:(?<![ \t])[ \t]+)?\r?\n[ \t]*")
 
 Headers = tuple[tuple[str, str], ...]
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -32,8 +32,8 @@
 # Pause of the event loop after an unexpected error, which may come back at once.
 LOOP_ERROR_PAUSE_S = 0.05
 
-# Line break within a header, which becomes a space. Without the lookbehind, the time is quadratic in
-# the length of a run of spaces.
+# Line break within a header, which becomes a space. Without the lookbehind, the time is quadratic
+# in the length of a run of spaces.
 _FOLD = re.compile(r"(?:(?<![ \t])[ \t]+)?\r\n[ \t]+")
 
 
@@ -100,8 +100,8 @@
         # http.client would refuse to send a target with control characters.
         if not (self.request_uri.isascii() and self.request_uri.isprintable()):
             raise ParsingError("Bad URI: it is not printable ASCII")
-        # waitress reads chunks only in HTTP/1.1. In other versions it would take the request for one
-        # without a body, and the body for the next request.
+        # waitress reads chunks only in HTTP/1.1. In other versions it would take the request for
+        # one without a body, and the body for the next request.
         if "TRANSFER_ENCODING" in self.headers:
             raise ParsingError("Transfer-Encoding needs HTTP/1.1")
         lines = _FOLD.sub(" ", header_plus.decode("latin-1")).split("\r\n")[1:]
