Split the HTTP server into modules with one job each

The parser of requests, the tasks that write answers, the channel, the task dispatcher and the report of requests without an answer are now modules of their own; wsgiserver keeps the server and its event loop. No line of code changed but imports and blank lines. The tests of the server, of kept and cut connections, of odd requests, of the stop and of the emulators passed after it.

--- /dev/null
+++ b/catkinhook/channel.py
@@ -0,0 +1,230 @@
+"""Callers' connections: order of requests, answers at the end of a stop, and resets."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from http import HTTPStatus
+
+import attrs
+from waitress.channel import ClientDisconnected, HTTPChannel
+
+from catkinhook.answertask import ProblemTask, Task
+from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
+from catkinhook.requestparser import Parser
+from catkinhook.unanswered import (
+    CALLER_CLOSED,
+    EARLIER_ANSWER,
+    HOST_CLOSED,
+    LOOP_ERROR,
+    UnansweredRequest,
+)
+
+# Value of SO_LINGER with which closing a socket resets its connection.
+_LINGER_RESET = struct.pack("ii", 1, 0)
+_LINGER_OFF = struct.pack("ii", 0, 0)
+
+
+@attrs.frozen
+class AnsweredRequest:
+    """A request that the server answers because the process ends.
+
+    :ivar ran: ``NO`` if no thread had begun to serve it.
+    """
+
+    request: Parser
+    ran: Ran
+
+    @property
+    def status(self) -> HTTPStatus:
+        """Status of the answer: 503 promises that the request does not run, 502 does not."""
+        return HTTPStatus.SERVICE_UNAVAILABLE if self.ran is Ran.NO else HTTPStatus.BAD_GATEWAY
+
+    def render(self) -> bytes:
+        """Return the answer, a problem document."""
+        status = self.status
+        reason = "the process ends before the answer is complete"
+        body = render_problem(Refusal("http", "", reason, "stopping", status, self.ran))
+        # A request may have another version or none.
+        version = "1.1" if self.request.version == "1.1" else "1.0"
+        head = (
+            f"HTTP/{version} {status.value} {status.phrase}\r\nConnection: close\r\n"
+            f"Content-Type: {PROBLEM_CONTENT_TYPE}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        # A request whose head is malformed has no command.
+        has_body = getattr(self.request, "command", "") != "HEAD"
+        return head.encode() + (body if has_body else b"")
+
+
+class Channel(HTTPChannel):
+    """waitress channel with the task and parser classes of this module, which supports draining."""
+
+    task_class = Task
+    error_task_class = ProblemTask
+    parser_class = Parser
+
+    # Whether the answer that ``reset_until_whole`` protects was written to its end.
+    has_whole_answer = True
+    _resets = False
+    # Whether the event loop has answered the first request in place of its thread.
+    is_answered = False
+    _is_finishing = False
+    # The request that a thread serves, and whether that thread has begun its answer.
+    _running: Parser | None = None
+    _has_begun_answer = False
+
+    def __init__(self, *args: object, **options: object) -> None:
+        self._has_loop_error = False
+        self._seen_activity = 0.0
+        self._idle_since = time.monotonic()
+        super().__init__(*args, **options)
+        self._answer_lock = threading.Lock()
+
+    def readable(self) -> bool:
+        """Return whether the event loop reads from the connection."""
+        return not self._is_finishing and super().readable()
+
+    def handle_read(self) -> None:
+        """Read from the connection, unless it became unreadable after the poll.
+
+        waitress would read a request from a connection that is about to close, and drop it. Bytes
+        that stay unread reset the connection, which tells the caller that its request did not run.
+        """
+        if self.readable():
+            super().handle_read()
+
+    def writable(self) -> bool:
+        """Whether to wait until output can be sent; not on a closed socket."""
+        return self.socket is not None and super().writable()
+
+    def measure_idle(self, now: float) -> float:
+        """Return the seconds since the call before which the channel was last active.
+
+        :param now: seconds on the monotonic clock.
+        """
+        if self.last_activity != self._seen_activity:
+            self._seen_activity, self._idle_since = self.last_activity, now
+        return now - self._idle_since
+
+    def service(self) -> None:
+        """Serve the first queued request; called by a thread of the dispatcher.
+
+        Requests behind it are reported if its answer ends the connection.
+        """
+        with self._answer_lock:
+            if self.is_answered:
+                return
+            request = self._running = self.requests[0]
+            self._has_begun_answer = False
+        requests = self.requests
+        dropped: list[Parser] = []
+        try:
+            super().service()
+        finally:
+            with self._answer_lock:
+                # Otherwise another thread already serves the next request.
+                if self._running is request:
+                    self._running = None
+                    # waitress replaces the list when it drops the requests behind the first one.
+                    dropped = requests[1:] if self.requests is not requests else []
+        for later_request in dropped:
+            self.report_unanswered(later_request, EARLIER_ANSWER)
+        if self._is_finishing and not self.requests:
+            self.close_when_flushed = True
+            self.server.pull_trigger()
+
+    def write_soon(self, data: bytes) -> int:
+        """Queue output of the thread that serves a request.
+
+        :raises ClientDisconnected: if the event loop has answered the request.
+        """
+        with self._answer_lock:
+            if self.is_answered:
+                raise ClientDisconnected
+            self._has_begun_answer = self._has_begun_answer or bool(data)
+        return super().write_soon(data)
+
+    def answer_unfinished(self) -> AnsweredRequest | None:
+        """Answer the first request unless its thread has begun to, and close the connection.
+
+        Called by the event loop's thread. It doesn't wait for output of earlier requests.
+
+        :returns: the request and its answer, None if there is none to answer.
+        """
+        # A thread removes its request under the first lock.
+        with self.requests_lock, self._answer_lock:
+            if not self.requests or not self.connected or self.total_outbufs_len:
+                return None
+            request = self.requests[0]
+            is_running = request is self._running
+            if is_running and self._has_begun_answer:
+                return None
+            self.is_answered = True
+        answered = AnsweredRequest(request, Ran.UNKNOWN if is_running else Ran.NO)
+        super().write_soon(answered.render())
+        self.close_when_flushed = True
+        return answered
+
+    def finish(self) -> None:
+        """Read no more, and close the connection when the requests that were read are answered.
+
+        Called by the event loop's thread, so that no request is being read.
+        """
+        self._is_finishing = True
+        if not self.requests:
+            self.close_when_flushed = True
+
+    def reset_until_whole(self) -> None:
+        """Let each close reset the connection until all of the present answer was sent.
+
+        The end of its connection completes an answer without length and chunks, such as a stream to
+        a caller with HTTP/1.0. The kernel also resets the connection if the process ends. The
+        caller may then miss bytes that it has not read.
+        """
+        self.has_whole_answer, self._resets = False, True
+        self._set_linger(_LINGER_RESET)
+
+    def _set_linger(self, value: bytes) -> None:
+        # The event loop sets it to None when it closes the connection.
+        sock = self.socket
+        if sock is None:
+            return
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+    def send_continue(self) -> None:
+        """Ask for the body of a request; one without a body, or a refused one, stays complete."""
+        request = self.request
+        is_complete = request.completed
+        super().send_continue()
+        request.completed = is_complete
+
+    def handle_error(self) -> None:
+        """Close the connection after an exception in the event loop."""
+        self._has_loop_error = True
+        super().handle_error()
+
+    def handle_close(self) -> None:
+        """Close the connection, and report its requests if no thread serves them."""
+        if self._resets and self.has_whole_answer and not self.total_outbufs_len:
+            self._set_linger(_LINGER_OFF)
+        if self.connected and self._running is None:
+            why = HOST_CLOSED if self.will_close else CALLER_CLOSED
+            # The event loop answers only the first request.
+            for request in self.requests[1:] if self.is_answered else list(self.requests):
+                self.report_unanswered(request, LOOP_ERROR if self._has_loop_error else why)
+        super().handle_close()
+
+    def report_unanswered(self, request: Parser, why: str, reason: str = "") -> None:
+        """Report a request that gets no complete answer."""
+        age_s = time.monotonic() - request.completed_at
+        self.server.on_unanswered(
+            UnansweredRequest(
+                why=why,
+                reason=reason,
+                target=request.request_uri,
+                header_lines=request.header_lines,
+                age_s=age_s,
+            )
+        )
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -45,9 +45,11 @@
 from catkinhook.state.storewatches import ConfigurationWatch, EndpointWatch
 from catkinhook.state.views import EndpointView
 from catkinhook.stateactor import StateActor
+from catkinhook.taskdispatcher import OnDemandDispatcher
 from catkinhook.thrift_hosts import Host as HostInterface
+from catkinhook.unanswered import CALLER_CLOSED, UnansweredRequest
 from catkinhook.units import KIB, MIB
-from catkinhook.wsgiserver import CALLER_CLOSED, OnDemandDispatcher, Server, UnansweredRequest
+from catkinhook.wsgiserver import Server
 
 # Maximum number of requests in progress on one host; each occupies a thread.
 MAX_REQUESTS = 224
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -10,6 +10,7 @@
 import attrs
 import xxhash
 
+from catkinhook.answertask import PARSED_REQUEST
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.hoststate import HostState
 from catkinhook.platform import protocolnames
@@ -21,7 +22,6 @@
 from catkinhook.requests.routedrequest import DEFAULT_OUTPUT_TOKENS, RoutedRequest
 from catkinhook.requests.routetable import Route, RouteTable
 from catkinhook.texts import parse_count
-from catkinhook.wsgiserver import PARSED_REQUEST
 
 STEP = "front"
 # Default deadline of requests, and upper limit on the deadlines that callers send.
--- a/catkinhook/requests/web.py
+++ b/catkinhook/requests/web.py
@@ -12,6 +12,7 @@
 import attrs
 from result import Result
 
+from catkinhook.answertask import OUTPUT_BACKLOGGED
 from catkinhook.clocks import Clock, monotonic
 from catkinhook.durable.claimanswers import Answer
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
@@ -29,7 +30,6 @@
     make_refusal,
 )
 from catkinhook.state.views import Snapshot
-from catkinhook.wsgiserver import OUTPUT_BACKLOGGED
 
 STEP = "web"
 DEFERRED_PREFIX = "/v1/deferred/"
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -4,13 +4,7 @@
 from unittest import mock
 
 from catkinhook.host import WebListener
-from catkinhook.wsgiserver import (
-    APPLICATION,
-    CALLER_CLOSED,
-    EARLIER_ANSWER,
-    LOOP_ERROR,
-    UNHANDLED,
-)
+from catkinhook.unanswered import APPLICATION, CALLER_CLOSED, EARLIER_ANSWER, LOOP_ERROR, UNHANDLED
 from tests.connectioncase import HEADERS, ConnectionCase
 from tests.hostcase import REQUEST_ID, WAIT_S, HostCase, wait_until
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -8,7 +8,9 @@
 from unittest import mock
 
 from catkinhook.requests.attempts import CountingConnection
-from catkinhook.wsgiserver import CALLER_CLOSED, HOST_CLOSED, OnDemandDispatcher, Server
+from catkinhook.taskdispatcher import OnDemandDispatcher
+from catkinhook.unanswered import CALLER_CLOSED, HOST_CLOSED
+from catkinhook.wsgiserver import Server
 from tests.connectioncase import HEADERS, Caller, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
 
--- a/tests/test_odd_connections.py
+++ b/tests/test_odd_connections.py
@@ -10,8 +10,11 @@
 from waitress.adjustments import Adjustments
 
 from catkinhook.platform.upstream import _FOLD as UPSTREAM_FOLD
+from catkinhook.requestparser import Parser
+from catkinhook.taskdispatcher import OnDemandDispatcher
+from catkinhook.unanswered import UnansweredRequest
 from catkinhook.units import KIB
-from catkinhook.wsgiserver import OnDemandDispatcher, Parser, Server, UnansweredRequest
+from catkinhook.wsgiserver import Server
 from tests.connectioncase import HEADERS, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
 
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -9,7 +9,8 @@
 from catkinhook.platform.front import FrontApplication
 from catkinhook.requests.attempts import CountingConnection
 from catkinhook.stateactor import StateActor
-from catkinhook.wsgiserver import APPLICATION, OnDemandDispatcher
+from catkinhook.taskdispatcher import OnDemandDispatcher
+from catkinhook.unanswered import APPLICATION
 from tests.connectioncase import HEADERS, ConnectionCase
 from tests.hostcase import WAIT_S, wait_until
 from tests.platform_fakes import ScriptedAnswer, make_configuration
--- a/tests/test_wsgiserver.py
+++ b/tests/test_wsgiserver.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from catkinhook.wsgiserver import OnDemandDispatcher, Server, close_sockets
+from catkinhook.taskdispatcher import OnDemandDispatcher
+from catkinhook.wsgiserver import Server, close_sockets
 from tests.stopping_host import Caller, End
 
 WAIT_S = 10.0
