--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -66,9 +66,11 @@
 
     # Whether the answer that ``reset_until_whole`` protects was written to its end.
     has_whole_answer = True
+    # Whether the socket is set to be reset when it is closed.
     _resets = False
     # Whether the event loop has answered the first request in place of its thread.
     is_answered = False
+    # Whether no further request is read, because the process ends.
     _is_finishing = False
     # The request that a thread serves, and whether that thread has begun its answer.
     _running: Parser | None = None
