--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -123,6 +123,14 @@
         self.assertFalse(self.is_refused(FIRST, SUBJECT))
         self.assertTrue(self.is_refused(FIRST, DEADLY))
 
+    def test_part_that_was_sound_before_is_refused_too(self) -> None:
+        """Guards against trust in earlier answers while the part crashes engines."""
+        self.answer(FIRST, DEADLY)
+        for _ in range(CRASHES_BEFORE_BOUND - 1):
+            self.crash(FIRST, DEADLY)
+            self.answer(FIRST)
+        self.assertTrue(self.is_refused(FIRST, DEADLY))
+
     def test_part_is_found_without_heads_of_answers(self) -> None:
         """An engine whose head gets lost with its connection leaves only waiting requests."""
         for _ in range(CRASHES_BEFORE_BOUND - 1):
