Keep watching callers after an error with one of them

What callers saw: nothing; but for all callers that left after it, their engines went on working, and their requests stayed queued until their deadlines. The host's own callers then compete with requests that nobody awaits.

Cause: the disconnect monitor's only thread ended with the first exception of a check or of a cancellation. Of the class "an exception in a thread that others wait for".

Evidence: two tests, DisconnectMonitorTest in test_shared_threads; both failed before.

Why the fix works: the exception is logged, its caller is no longer watched, and the thread goes on with the others.

--- a/catkinhook/requests/disconnectmonitor.py
+++ b/catkinhook/requests/disconnectmonitor.py
@@ -1,8 +1,11 @@
 """Detection of callers that disconnect while their request runs."""
 
+import logging
 import threading
 from collections.abc import Callable
 
+_log = logging.getLogger(__name__)
+
 # Bounds the time that an engine spends on a request after its caller disconnected. 256 checks take
 # about 50 microseconds.
 CHECK_INTERVAL_S = 0.1
@@ -58,6 +61,11 @@
                 if not callbacks and not self._stop.is_set():
                     self._has_callers.clear()
             for key, (is_disconnected, on_disconnect) in callbacks:
-                if is_disconnected():
+                try:
+                    if is_disconnected():
+                        self.remove(key)
+                        on_disconnect()
+                except Exception:
+                    # An error with one caller must not end the thread, which watches all of them.
                     self.remove(key)
-                    on_disconnect()
+                    _log.exception("a caller is no longer watched")
