Refuse a request on which the scheduler fails, and decide on the others

What callers saw: 500 on every later request of the host, and cut streams that had to go on elsewhere, until the host was restarted.

Cause: an exception in the decision on one request left it in the queue, where each later decision met it again, also at the end of other requests. Requests decided before it in the same pass were decided once more, and the place that they had got first was never free again. Of the class "an exception in a thread that others wait for".

Evidence: three tests, UndecidableRequestTest in test_shared_threads; all failed before.

Why the fix works: each decision of a pass has its own handler, which refuses the request and lets the pass end, so that the queue is always replaced.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -3,6 +3,7 @@
 The scheduler reads no clock; callers pass the time in.
 """
 
+import logging
 import math
 import random
 from collections import Counter
@@ -24,6 +25,8 @@
 from catkinhook.requests.suspects import EventKind, Suspects, SuspectStatus
 from catkinhook.state.views import EndpointView, LoadReport
 
+_log = logging.getLogger(__name__)
+
 STEP = "scheduling"
 
 # An attempt must start this long before the caller times out, or its answer arrives too late.
@@ -282,22 +285,45 @@
         for pending in sorted(
             self._queue, key=lambda pending: _queue_sort_key(pending.request, now)
         ):
-            key = (pending.request.service, pending.request.item)
-            decision = self._decide_quarantined(pending, now)
-            # Excluded endpoints differ between requests, so only first attempts share a result.
-            if decision is None and (key not in blocked_items or pending.exclude):
-                decision = self._try_assign(pending, now)
-            if decision is None:
-                blocked_items.add(key)
-                queued_ahead = queued_by_service.get(pending.request.service, 0)
-                decision = self._refuse_if_too_late(pending, queued_ahead, now)
+            try:
+                decision = self._decide(pending, blocked_items, queued_by_service, now)
+            except Exception as error:
+                # Otherwise the request would stay in the queue, where it would keep all others from
+                # a decision, and those decided before it would be decided again.
+                _log.exception("no decision on a request")
+                decision = _make_error_refusal(pending, error)
             if decision is None:
-                queued_by_service[pending.request.service] = queued_ahead + 1
                 remaining.append(pending)
             else:
                 pending.on_decision(decision)
         self._queue = remaining
 
+    def _decide(
+        self,
+        pending: PendingRequest,
+        blocked_items: set[tuple[str, str]],
+        queued_by_service: dict[str, int],
+        now: float,
+    ) -> Decision | None:
+        """Return the decision on a queued request, None if it stays queued.
+
+        :param blocked_items: items for which a request ahead of this one found no place.
+        :param queued_by_service: number of requests ahead of this one that stay queued.
+        """
+        service = pending.request.service
+        key = (service, pending.request.item)
+        decision = self._decide_quarantined(pending, now)
+        # Excluded endpoints differ between requests, so only first attempts share a result.
+        if decision is None and (key not in blocked_items or pending.exclude):
+            decision = self._try_assign(pending, now)
+        if decision is None:
+            blocked_items.add(key)
+            queued_ahead = queued_by_service.get(service, 0)
+            decision = self._refuse_if_too_late(pending, queued_ahead, now)
+            if decision is None:
+                queued_by_service[service] = queued_ahead + 1
+        return decision
+
     def record_first_event(self, attempt: int, now: float, is_success: bool = True) -> None:
         """Record the arrival of the first bytes of an attempt's answer.
 
@@ -696,6 +722,11 @@
     return 503 if ran is Ran.NO else 502
 
 
+def _make_error_refusal(pending: PendingRequest, error: Exception) -> Refusal:
+    reason = f"the scheduler failed: {error!r}"
+    return Refusal(STEP, "", reason, "internal", _refusal_status(pending.ran), pending.ran, 1.0)
+
+
 def _reserved_tokens(request: RoutedRequest) -> int:
     return request.prompt_tokens + int(MEAN_OUTPUT_SHARE * request.output_tokens)
 
--- a/tests/test_shared_threads.py
+++ b/tests/test_shared_threads.py
@@ -1,9 +1,15 @@
 """An error in a thread that many requests depend on is felt by none of the others."""
 
+import contextlib
 import threading
 import unittest
+from unittest import mock
 
+from catkinhook.errors import Refusal
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
+from catkinhook.requests.outcomes import Outcome
+from catkinhook.requests.routedrequest import Assignment
+from tests import test_hostscheduler
 from tests.hostcase import WAIT_S
 
 CHECK_INTERVAL_S = 0.01
@@ -50,5 +56,58 @@
         self.check_others_are_watched()
 
 
+class UndecidableRequestTest(unittest.TestCase):
+    """A request on which the scheduler can't decide because of an error."""
+
+    def setUp(self) -> None:
+        self.enterContext(self.assertLogs("catkinhook.requests.hostscheduler"))
+        self.case = case = test_hostscheduler.SchedulerTest()
+        case.setUp()
+        self.scheduler, self.now = case.scheduler, case.now
+        status = self.scheduler.suspects.status
+
+        def find_status(fingerprint: str, now: float) -> object:
+            if fingerprint == "broken":
+                raise ZeroDivisionError
+            return status(fingerprint, now)
+
+        patch = mock.patch.object(self.scheduler.suspects, "status", find_status)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def submit_broken(self) -> None:
+        """Submit the request; an error here is an answer of status 500 to its caller."""
+        with contextlib.suppress(ZeroDivisionError):
+            self.case.submit("broken")
+
+    def test_undecidable_request_is_refused(self) -> None:
+        """It must not wait until its deadline, nor stay in the queue for ever."""
+        self.submit_broken()
+        refusal = self.case.decisions.get("broken")
+        self.assertIsInstance(refusal, Refusal)
+        self.assertEqual(refusal.status, 503)
+        self.assertEqual(self.scheduler.waiting(), 0)
+
+    def test_undecidable_request_holds_up_no_other(self) -> None:
+        """Other requests, and the ends of those that run, must not fail for it."""
+        running = self.case.fill_slots()
+        self.assertIsNone(self.case.submit("waiting"))
+        self.submit_broken()
+        self.scheduler.finish(running[0].attempt, Outcome.COMPLETED, self.now)
+        self.assertIsInstance(self.case.decisions.get("waiting"), Assignment)
+        self.scheduler.finish(running[1].attempt, Outcome.COMPLETED, self.now)
+        self.assertIsInstance(self.case.submit("later"), Assignment)
+
+    def test_no_request_is_decided_twice(self) -> None:
+        """An error must not assign requests again, whose first places would never be free again."""
+        running = self.case.fill_slots()
+        decided = []
+        self.scheduler.submit(self.case.make_request("waiting"), decided.append, self.now)
+        self.submit_broken()
+        for assignment in running:
+            self.scheduler.finish(assignment.attempt, Outcome.COMPLETED, self.now)
+        self.assertEqual(len(decided), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
