Accept peers after a thread could not be started

What callers saw: nothing at once; a holder or host without a free thread was deaf to all other hosts from then on, until it was restarted.

Cause: the thread that accepts peer connections ended with the RuntimeError of the thread that it could not start. The connection also kept its place among the established ones and the handshakes.

Evidence: test_peers_are_served_after_a_thread_could_not_be_started failed before.

Why the fix works: the connection is closed and its place given back; the peer connects again.

--- a/catkinhook/peering/peers.py
+++ b/catkinhook/peering/peers.py
@@ -458,7 +458,15 @@
         if is_full:
             connection.close()
             return
-        thread.start()
+        try:
+            thread.start()
+        except RuntimeError as error:
+            # No thread is left. The error would end the thread that accepts all connections.
+            _log.warning("cannot serve a connection", extra={"error": str(error)})
+            with self._lock:
+                del self._thread_by_transport[transport]
+                self._pending_handshakes -= 1
+            connection.close()
 
     def _serve_connection(self, transport: SocketTransport, connection: socket.socket) -> None:
         try:
--- a/tests/test_shared_threads.py
+++ b/tests/test_shared_threads.py
@@ -6,10 +6,11 @@
 from unittest import mock
 
 from catkinhook.errors import Refusal
+from catkinhook.peering.peers import PeerClient, PeerServer
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
-from tests import test_hostscheduler
+from tests import test_hostscheduler, test_peers
 from tests.hostcase import WAIT_S
 
 CHECK_INTERVAL_S = 0.01
@@ -109,5 +110,25 @@
         self.assertEqual(len(decided), 1)
 
 
+class PeerServerTest(unittest.TestCase):
+    """The thread that accepts the connections of all other hosts."""
+
+    def test_peers_are_served_after_a_thread_could_not_be_started(self) -> None:
+        """A holder without free threads must not be deaf from then on, nor lose a connection."""
+        self.enterContext(self.assertLogs("catkinhook.peering.peers"))
+        server = PeerServer("127.0.0.1:0", test_peers.Handler(), test_peers.SECRET)
+        server.start()
+        self.addCleanup(server.close)
+        with mock.patch(
+            "catkinhook.peering.peers.threading.Thread.start", side_effect=RuntimeError
+        ):
+            client = PeerClient(server.address, test_peers.SECRET, WAIT_S)
+            self.addCleanup(client.close)
+            self.assertTrue(client.call("changes_after", 1).is_err())
+        self.assertEqual(client.call("changes_after", 1).unwrap().number, 2)
+        self.assertEqual(len(server._thread_by_transport), 1)
+        self.assertEqual(server._pending_handshakes, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
