--- a/tests/test_shared_threads.py
+++ b/tests/test_shared_threads.py
@@ -1,11 +1,15 @@
 """An error in a thread that many requests depend on is felt by none of the others."""
 
 import contextlib
+import logging
+import os
+import sys
 import threading
 import unittest
 from unittest import mock
 
 from catkinhook.errors import Refusal
+from catkinhook.operations.logs import configure_logs
 from catkinhook.peering.peers import PeerClient, PeerServer
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.outcomes import Outcome
@@ -14,6 +18,9 @@
 from tests.hostcase import WAIT_S
 
 CHECK_INTERVAL_S = 0.01
+# More than a pipe holds.
+LOG_LINES = 2000
+LOG_TEXT = "x" * 200
 
 
 class DisconnectMonitorTest(unittest.TestCase):
@@ -130,5 +137,41 @@
         self.assertEqual(server._pending_handshakes, 0)
 
 
+class UnreadLogTest(unittest.TestCase):
+    """Log lines that nobody reads."""
+
+    def test_lines_do_not_wait_for_a_reader(self) -> None:
+        """A full pipe on standard error must not stop the event loop when it logs an error."""
+        reader, writer = os.pipe()
+        root = logging.getLogger()
+        handlers, level = root.handlers, root.level
+        self.addCleanup(root.setLevel, level)
+        self.addCleanup(setattr, root, "handlers", handlers)
+        with open(writer, "w", encoding="utf-8") as unread:
+            with mock.patch.object(sys, "stderr", unread):
+                configure_logs("WARNING", "front-1", "host")
+            logger = logging.getLogger("catkinhook.test")
+            done = threading.Event()
+
+            def write() -> None:
+                for _ in range(LOG_LINES):
+                    logger.warning(LOG_TEXT)
+                done.set()
+
+            threading.Thread(target=write, daemon=True).start()
+            is_done = done.wait(WAIT_S)
+            threading.Thread(target=_read_to_end, args=(reader,), daemon=True).start()
+            # Without this, the writer would go on after its file was closed.
+            self.assertTrue(done.wait(WAIT_S))
+            root.handlers[0].close()
+        self.assertTrue(is_done)
+
+
+def _read_to_end(reader: int) -> None:
+    while os.read(reader, 1 << 16):
+        pass
+    os.close(reader)
+
+
 if __name__ == "__main__":
     unittest.main()
