Account for connections that callers reset

What callers saw: nothing new.

What the logs lacked, each shown by a test that failed before: - a whole request whose caller closed or reset its connection before a thread had begun it was counted, but left no line, neither "request" nor "unanswered"; - an answer of which a part was still unsent when its connection ended counted as answered, and nothing else; - a reset shortly after an answer, which may have been on its way, and one in the middle of a request were not seen at all.

The first two are "unanswered" lines now ("caller closed", "unsent answer"), the other two "caller-reset" lines and a counter by state of the connection.

--- a/catkinhook/answertask.py
+++ b/catkinhook/answertask.py
@@ -62,6 +62,7 @@
         """Write the end of the answer."""
         super().finish()
         self._is_finished = self.channel.has_whole_answer = True
+        self.channel.mark_answered(self.request)
 
     def _find_why(self) -> str:
         if not self.channel.connected:
--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -11,6 +11,13 @@
 from waitress.channel import ClientDisconnected, HTTPChannel
 
 from catkinhook.answertask import ProblemTask, Task
+from catkinhook.callerresets import (
+    IDLE,
+    PARTIAL_REQUEST,
+    RECENT_ANSWER,
+    RECENT_ANSWER_S,
+    CallerReset,
+)
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.requestparser import Parser
 from catkinhook.unanswered import (
@@ -18,6 +25,7 @@
     EARLIER_ANSWER,
     HOST_CLOSED,
     LOOP_ERROR,
+    UNSENT_ANSWER,
     UnansweredRequest,
 )
 
@@ -75,6 +83,9 @@
     # The request that a thread serves, and whether that thread has begun its answer.
     _running: Parser | None = None
     _has_begun_answer = False
+    # The request that was answered last, and the time at which its answer was complete.
+    _answered: Parser | None = None
+    _answered_at = 0.0
 
     def __init__(self, *args: object, **options: object) -> None:
         self._has_loop_error = False
@@ -119,6 +130,7 @@
                 return
             request = self._running = self.requests[0]
             self._has_begun_answer = False
+            self._answered = None
         requests = self.requests
         dropped: list[Parser] = []
         try:
@@ -131,7 +143,7 @@
                     # waitress replaces the list when it drops the requests behind the first one.
                     dropped = requests[1:] if self.requests is not requests else []
         for later_request in dropped:
-            self.report_unanswered(later_request, EARLIER_ANSWER)
+            self.report_unanswered(later_request, EARLIER_ANSWER, has_begun=False)
         if self._is_finishing and not self.requests:
             self.close_when_flushed = True
             self.server.pull_trigger()
@@ -215,11 +227,49 @@
             why = HOST_CLOSED if self.will_close else CALLER_CLOSED
             # The event loop answers only the first request.
             for request in self.requests[1:] if self.is_answered else list(self.requests):
-                self.report_unanswered(request, LOOP_ERROR if self._has_loop_error else why)
+                why = LOOP_ERROR if self._has_loop_error else why
+                self.report_unanswered(request, why, has_begun=False)
+        is_answered = self._answered is not None and self._running in (None, self._answered)
+        if self.connected and self.total_outbufs_len and is_answered:
+            self.report_unanswered(self._answered, UNSENT_ANSWER)
         super().handle_close()
 
-    def report_unanswered(self, request: Parser, why: str, reason: str = "") -> None:
-        """Report a request that gets no complete answer."""
+    def mark_answered(self, request: Parser) -> None:
+        """Note that the answer to a request is complete."""
+        self._answered, self._answered_at = request, time.monotonic()
+
+    def recv(self, buffer_size: int) -> bytes:
+        """Read from the connection, and close it if the caller has ended it."""
+        try:
+            data = self.socket.recv(buffer_size)
+        except ConnectionResetError:
+            self._report_reset()
+            data = b""
+        if not data:
+            self.handle_close()
+        return data
+
+    def _report_reset(self) -> None:
+        """Report a reset, unless a request in progress or an unsent answer is reported for it."""
+        # The thread may still hold a request whose answer is complete.
+        is_in_progress = any(request is not self._answered for request in self.requests)
+        if is_in_progress or self.total_outbufs_len:
+            return
+        answered_s_ago = time.monotonic() - self._answered_at
+        is_recent = self._answered is not None and answered_s_ago < RECENT_ANSWER_S
+        state = PARTIAL_REQUEST if self.request else RECENT_ANSWER if is_recent else IDLE
+        lines = () if self._answered is None else self._answered.header_lines
+        self.server.on_reset(
+            CallerReset(state=state, header_lines=lines, answered_s_ago=answered_s_ago)
+        )
+
+    def report_unanswered(
+        self, request: Parser, why: str, reason: str = "", has_begun: bool = True
+    ) -> None:
+        """Report a request that gets no complete answer.
+
+        :param has_begun: whether a thread had begun to serve it.
+        """
         age_s = time.monotonic() - request.completed_at
         self.server.on_unanswered(
             UnansweredRequest(
@@ -228,5 +278,6 @@
                 target=request.request_uri,
                 header_lines=request.header_lines,
                 age_s=age_s,
+                has_begun=has_begun,
             )
         )
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -15,6 +15,7 @@
 
 from catkinhook import __version__
 from catkinhook.addresses import split_address
+from catkinhook.callerresets import IDLE, CallerReset
 from catkinhook.control.ordercoordinator import OrderCoordinator
 from catkinhook.control.orderlease import OrderLease
 from catkinhook.control.orderleasemanager import LeaseManager
@@ -127,6 +128,7 @@
     """Service that runs a waitress server in a thread.
 
     :param on_unanswered: called for each whole request that gets no complete answer.
+    :param on_reset: called for each connection that its caller reset without such a request.
     :ivar is_listening: whether connections are accepted.
     """
 
@@ -137,12 +139,14 @@
         threads: int,
         name: str,
         on_unanswered: Callable[[UnansweredRequest], None] | None = None,
+        on_reset: Callable[[CallerReset], None] | None = None,
     ) -> None:
         self._application = application
         self._address = address
         self._threads = threads
         self._name = name
         self._on_unanswered = on_unanswered
+        self._on_reset = on_reset
         self.is_listening = False
 
     def start(self) -> None:
@@ -170,6 +174,8 @@
         self.is_listening = True
         if self._on_unanswered is not None:
             self.server.on_unanswered = self._on_unanswered
+        if self._on_reset is not None:
+            self.server.on_reset = self._on_reset
         self._thread = threading.Thread(target=self.server.run, name=self._name, daemon=True)
         self._thread.start()
 
@@ -290,7 +296,12 @@
         threads = MAX_REQUESTS + SPARE_THREADS
         self._find_request_id = platform.find_request_id
         self.front = WebListener(
-            front, settings.front_address, threads, "front", self._record_unanswered
+            front,
+            settings.front_address,
+            threads,
+            "front",
+            self._record_unanswered,
+            self._record_reset,
         )
         control = QuarantineControl(scheduler, self.holder_link.push_evidence)
         ready = platform.make_readiness_application(self.state, self._render_metrics, control)
@@ -359,8 +370,8 @@
 
     def _record_unanswered(self, unanswered: UnansweredRequest) -> None:
         self.metrics.unanswered.labels(unanswered.why).inc()
-        # Callers often leave, and then the line of the request says so.
-        if unanswered.why != CALLER_CLOSED:
+        # Callers often leave, and then the line of the request says so, unless none was begun.
+        if unanswered.why != CALLER_CLOSED or not unanswered.has_begun:
             self.log.record(
                 "unanswered",
                 outcome=unanswered.why,
@@ -370,6 +381,16 @@
                 reason=unanswered.reason,
             )
 
+    def _record_reset(self, reset: CallerReset) -> None:
+        self.metrics.caller_resets.labels(reset.state).inc()
+        if reset.state != IDLE:
+            self.log.record(
+                "caller-reset",
+                outcome=reset.state,
+                last_id=self._find_request_id(reset.header_lines),
+                answered_s_ago=round(reset.answered_s_ago, 3),
+            )
+
     def stop(self) -> None:
         """Mark the host as stopping and wait for requests in progress, up to the grace period."""
         began = time.monotonic()
--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -27,6 +27,12 @@
             ("why",),
             **common,
         )
+        self.caller_resets = Counter(
+            "caller_resets",
+            "Connections that their callers reset while no request was in progress.",
+            ("state",),
+            **common,
+        )
         self.duration = Histogram(
             "request_seconds",
             "Time to the end of the answer.",
--- a/catkinhook/unanswered.py
+++ b/catkinhook/unanswered.py
@@ -11,6 +11,7 @@
     :ivar reason: the exception, empty if there was none.
     :ivar header_lines: headers as received.
     :ivar age_s: seconds since its last byte was read.
+    :ivar has_begun: whether a thread had begun to serve it.
     """
 
     why: str
@@ -18,6 +19,7 @@
     target: str
     header_lines: tuple[tuple[str, str], ...]
     age_s: float
+    has_begun: bool
 
 
 # Reasons in ``UnansweredRequest``. The caller closed its connection.
@@ -32,3 +34,5 @@
 UNHANDLED = "unhandled error"
 # The request was sent behind one whose answer ends the connection.
 EARLIER_ANSWER = "earlier answer"
+# The connection ended before all of the answer was passed to the kernel.
+UNSENT_ANSWER = "unsent answer"
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -8,6 +8,7 @@
 from waitress import wasyncore
 from waitress.server import TcpWSGIServer
 
+from catkinhook.callerresets import CallerReset
 from catkinhook.channel import AnsweredRequest, Channel
 from catkinhook.unanswered import UnansweredRequest
 
@@ -25,7 +26,7 @@
         server.trigger.pull_trigger(lambda: wasyncore.close_all(sockets))
 
 
-def _ignore(unanswered: UnansweredRequest) -> None:
+def _ignore(report: UnansweredRequest | CallerReset) -> None:
     pass
 
 
@@ -34,11 +35,14 @@
 
     :ivar on_unanswered: called for each whole request that gets no complete answer, by the thread
         of the event loop or of the request; must not raise.
+    :ivar on_reset: called by the thread of the event loop for each connection that its caller reset
+        while no request was in progress; must not raise.
     """
 
     channel_class = Channel
     _is_finishing = False
     on_unanswered: Callable[[UnansweredRequest], None] = staticmethod(_ignore)
+    on_reset: Callable[[CallerReset], None] = staticmethod(_ignore)
 
     def run(self) -> None:
         """Run the event loop until all its sockets are closed, also after an unexpected error."""
