Go on after an unexpected error in the main thread

What callers saw: if reading the settings after SIGHUP raised an unexpected error, such as MemoryError, the process ended, and every request that it served was cut. The same after SIGTERM, if the release of the order lease raised one.

Cause: the main thread only waits for signals, but its end is the end of the process. Of the class "an exception in a thread that others wait for".

Evidence: test_error_in_a_reload_cuts_no_request and test_error_in_a_stop_cuts_no_request, with a MemoryError injected there, failed before.

Why the fix works: the error is logged and the host goes on; after SIGTERM, the stop goes on, and the lease lapses by itself.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -398,7 +398,11 @@
         self.log.record("process", outcome="stopping", in_progress=self.state.in_progress)
         self._scheduler.tell(lambda scheduler: scheduler.stop(began))
         self.holder_link.is_stopping = True
-        self.lease.resign()
+        try:
+            self.lease.resign()
+        except Exception as error:
+            # The lease lapses by itself. The requests in progress still need the rest of the stop.
+            self.log.record("lease", outcome=f"failed: {error!r}")
         deadline = began + self._settings.bounds.grace_s - KILL_MARGIN_S
         while time.monotonic() < deadline:
             is_noticed = time.monotonic() - began >= UNREADY_NOTICE_S
@@ -469,7 +473,12 @@
         version=__version__,
     )
     while next_signal() == signal.SIGHUP:
-        host.log.record("process", outcome=f"reload: {reload_settings()}")
+        try:
+            outcome = f"reload: {reload_settings()}"
+        except Exception as error:
+            # The end of the main thread would be the end of the process and of all its requests.
+            outcome = f"reload failed: {error!r}"
+        host.log.record("process", outcome=outcome)
     host.stop()
     # Exits without joining threads, which may be blocked on the store or an endpoint.
     os._exit(0)
--- a/tests/hostprocess.py
+++ b/tests/hostprocess.py
@@ -25,9 +25,11 @@
 class HostProcessCase(unittest.TestCase):
     """A host in a process of its own, with one engine and one plain endpoint.
 
+    :cvar command: command line of the process.
     :cvar popen_options: more arguments for the start of the process.
     """
 
+    command: tuple[str, ...] = (sys.executable, "-m", "catkinhook.platform")
     popen_options: dict[str, object] = {"stdout": subprocess.DEVNULL}
 
     def setUp(self) -> None:
@@ -52,7 +54,7 @@
         )
         self.settings.write_text(self.text, encoding="utf-8")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "catkinhook.platform"],
+            self.command,
             env={**os.environ, "CATKINHOOK_BOOT": str(self.settings)},
             **self.popen_options,
         )
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import subprocess
+import sys
 import time
 import unittest
 
@@ -24,6 +25,25 @@
 RELOADS = 200
 RELOAD_GAP_S = 0.005
 CHANGES = 20
+# Runs a host in whose main thread the reload of the settings and the release of the lease fail.
+FAILING_MAIN_THREAD = """
+import sys
+from unittest import mock
+from catkinhook.control.orderleasemanager import LeaseManager
+from catkinhook.platform import daemon
+
+read, calls = daemon.read_settings_file, []
+
+def read_once(path):
+    calls.append(path)
+    if len(calls) > 1:
+        raise MemoryError
+    return read(path)
+
+with mock.patch.object(daemon, "read_settings_file", read_once):
+    with mock.patch.object(LeaseManager, "resign", side_effect=MemoryError):
+        sys.exit(daemon.run())
+"""
 
 
 class UnreadLogTest(HostProcessCase):
@@ -92,6 +112,26 @@
         return caller.read_answer()[0] == 200
 
 
+class FailingMainThreadTest(HostProcessCase):
+    """A host whose main thread meets an unexpected error."""
+
+    command = (sys.executable, "-c", FAILING_MAIN_THREAD)
+
+    def test_error_in_a_reload_cuts_no_request(self) -> None:
+        """An error after SIGHUP must not end the process."""
+        calls = self.start_callers()
+        self.process.send_signal(signal.SIGHUP)
+        self.check_answers(calls)
+        self.assertIsNone(self.process.poll())
+
+    def test_error_in_a_stop_cuts_no_request(self) -> None:
+        """An error after SIGTERM must not end the process before its requests."""
+        calls = self.start_callers()
+        self.process.send_signal(signal.SIGTERM)
+        self.check_answers(calls)
+        self.assertEqual(self.process.wait(STOP_S), 0)
+
+
 class SignalsAndChangesTest(HostProcessCase):
     """A host that gets signals and changes of the configuration at the same time."""
 
