Tell the holder and other hosts which endpoints said that they leave

Callers waited for models that the holder had loaded on an engine that was about to stop, or that it still counted there as a copy; other hosts went on sending requests to the engine until its entry changed.

Cause: what a host learns of an endpoint reached the holder only as `down`, and other hosts not at all. Class: one process acts on what it was told, and those that plan for it are not told.

Reports to the holder and its answers now carry the known endpoints that said that they leave, with boot and age, in a new optional field `leaving` of `HostReport` and `HolderView`. The holder places nothing there and sends an empty holding, as for an engine whose entry says so. A process without the field skips it, and its messages are read without it. Marks are sent for as long as the endpoint is known with this boot, so a new holder and hosts that missed one get them; 512 at most in one message.

Accelerated and plain protocols read and write the new field alike.

--- a/catkinhook/control/enginerecords.py
+++ b/catkinhook/control/enginerecords.py
@@ -88,6 +88,7 @@
     :ivar failed_reports: consecutive failed report calls.
     :ivar needs_report: a host could not reach the engine, so a report is requested now.
     :ivar is_report_pending: a report call is in progress.
+    :ivar has_said_leaving: an answer of its present boot said that it leaves.
     """
 
     view: EndpointView
@@ -114,11 +115,13 @@
     failed_reports: int = 0
     needs_report: bool = False
     is_report_pending: bool = False
+    has_said_leaving: bool = False
 
     @property
     def is_usable(self) -> bool:
         """Whether models may be placed on the engine."""
-        return not self.view.leaving and self.failed_reports < DOWN_AFTER_FAILED_REPORTS
+        is_leaving = self.view.leaving or self.has_said_leaving
+        return not is_leaving and self.failed_reports < DOWN_AFTER_FAILED_REPORTS
 
     @property
     def is_free(self) -> bool:
--- a/catkinhook/control/ordercoordinator.py
+++ b/catkinhook/control/ordercoordinator.py
@@ -68,6 +68,7 @@
     _holding_by_id: dict[str, tuple[Holding, int]] = attrs.Factory(dict)
 
     def record_report(self, report: HostReport, now: float) -> None:
+        self.provisioner.record_leaving((e.endpoint, e.boot_id) for e in report.leaving)
         if report.stopping:
             self.report_by_node.pop(report.node, None)
         else:
--- a/catkinhook/control/provisioning.py
+++ b/catkinhook/control/provisioning.py
@@ -198,6 +198,16 @@
             if endpoint in self._record_by_id:
                 self._record_by_id[endpoint].needs_report = True
 
+    def record_leaving(self, boots: Iterable[tuple[str, str]]) -> None:
+        """Record that engines said in an answer that they leave.
+
+        :param boots: id and boot id of each engine.
+        """
+        for endpoint, boot_id in boots:
+            engine = self._record_by_id.get(endpoint)
+            if engine is not None and engine.view.boot_id == boot_id:
+                engine.has_said_leaving = True
+
     def set_running(self, running_by_use: dict[tuple[str, str], int]) -> None:
         """Replace the numbers of requests in progress over all hosts, by endpoint and model."""
         for engine in self._record_by_id.values():
--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -34,6 +34,7 @@
 from catkinhook.peering.partmessages import MAX_PART_EVENTS
 from catkinhook.peering.peers import PeerPool
 from catkinhook.peering.thriftfields import make_refused
+from catkinhook.requests.endpointavailability import LeavingEndpoint
 from catkinhook.requests.hostscheduler import Scheduler
 from catkinhook.requests.partquarantine import PartEvent
 from catkinhook.requests.suspects import SuspectEvent
@@ -233,16 +234,19 @@
 
         def read_state(
             scheduler: Scheduler,
-        ) -> tuple[dict, dict, set[str], list[SuspectEvent], list[PartEvent]]:
+        ) -> tuple[
+            dict, dict, set[str], list[SuspectEvent], list[PartEvent], list[LeavingEndpoint]
+        ]:
             return (
                 scheduler.demand(now),
                 scheduler.count_running(),
                 scheduler.down_endpoints(now),
                 scheduler.suspects.events(now, MAX_SUSPECTS, max_age),
                 scheduler.parts.events(now, MAX_PART_EVENTS, PART_EVENT_RESEND_S),
+                scheduler.leaving_endpoints(),
             )
 
-        demand, running, down, events, part_events = self._scheduler.ask(read_state)
+        demand, running, down, events, part_events, leaving = self._scheduler.ask(read_state)
         return HostReport(
             node=self._node,
             address=self._address,
@@ -256,6 +260,7 @@
             down=frozenset(down),
             suspects=tuple(events),
             part_events=tuple(part_events),
+            leaving=tuple(leaving),
             stopping=self.is_stopping,
             known_fence=self._known_view[0],
             known_revision=self._known_view[1],
@@ -278,15 +283,19 @@
             self._newer_configuration_address = report.address
             self._exchange_requested.set()
         self._merge_suspects(report.suspects)
+        self._merge_leaving(report.leaving, report.node)
         now = time.monotonic()
         is_known = report.known_fence == view.fence
         max_age = self._suspect_resend_s() if is_known else float("inf")
-        events = self._scheduler.ask(lambda s: s.suspects.events(now, MAX_SUSPECTS, max_age))
+        events, leaving = self._scheduler.ask(
+            lambda s: (s.suspects.events(now, MAX_SUSPECTS, max_age), s.leaving_endpoints())
+        )
         return attrs.evolve(
             view,
             configuration=self._read_configuration_version(),
             suspects=tuple(events),
             part_events=self._read_part_events(),
+            leaving=tuple(leaving),
             lease_version=self._lease.version(),
         )
 
@@ -326,6 +335,7 @@
             self._host_addresses = view.addresses
             self._lease.confirm(view.lease_version, view.fence)
             self._merge_suspects(view.suspects)
+            self._merge_leaving(view.leaving, view.node)
             if view.configuration > self._read_configuration_version():
                 self._fetch_newer_configuration(self._holder_address())
             self._update_scheduler(view)
@@ -404,6 +414,11 @@
         if events:
             self._scheduler.tell(lambda scheduler: scheduler.suspects.merge(events, now))
 
+    def _merge_leaving(self, endpoints: tuple[LeavingEndpoint, ...], source: str) -> None:
+        now = time.monotonic()
+        if endpoints:
+            self._scheduler.tell(lambda scheduler: scheduler.record_leaving(endpoints, source, now))
+
     def _update_scheduler(self, view: HolderView | None = None) -> None:
         with self._lock:
             is_recent = self._clock() - self._view_received_at < VIEW_TTL_S
--- a/catkinhook/peering/hostmessages.py
+++ b/catkinhook/peering/hostmessages.py
@@ -7,11 +7,14 @@
 from catkinhook.control.enginerecords import Demand, EngineRecord
 from catkinhook.peering.partmessages import decode_part_events, encode_part_events
 from catkinhook.peering.thriftfields import (
+    decode_age,
     decode_suspects,
+    encode_age,
     encode_count,
     encode_suspects,
     require_fields,
 )
+from catkinhook.requests.endpointavailability import LeavingEndpoint
 from catkinhook.requests.partquarantine import PartEvent
 from catkinhook.requests.suspects import SuspectEvent
 from catkinhook.state.gatewayreports import Suspect, make_suspect_events
@@ -19,6 +22,10 @@
 
 # Maximum number of suspect events in one message; the newest are sent.
 MAX_SUSPECTS = 64
+# Maximum number of endpoints in one message that said that they leave; the newest are sent.
+MAX_LEAVING_SENT = 512
+# Fields that older processes leave out.
+_OPTIONAL_FIELDS = frozenset({"leaving"})
 # Rates are encoded as integers in requests per 1,000 s, which take fewer bytes than doubles.
 RATE_SCALE = 1000
 
@@ -34,6 +41,7 @@
     :ivar running_by_use: the host's requests in progress by endpoint and model.
     :ivar down: endpoints that the host recently failed to reach.
     :ivar part_events: evidence about prompt parts that crash engines.
+    :ivar leaving: endpoints that said in an answer that they leave.
     :ivar known_fence: fencing token of the latest view that the host received.
     :ivar known_revision: revision of that view.
     """
@@ -47,6 +55,7 @@
     down: frozenset[str] = frozenset()
     suspects: tuple[SuspectEvent, ...] = ()
     part_events: tuple[PartEvent, ...] = ()
+    leaving: tuple[LeavingEndpoint, ...] = ()
     stopping: bool = False
     known_fence: int = 0
     known_revision: int = 0
@@ -76,6 +85,7 @@
     :ivar wait_by_item: estimated seconds until missing items are available.
     :ivar addresses: thrift listeners of all hosts that reported recently.
     :ivar part_events: evidence about prompt parts that crash engines.
+    :ivar leaving: endpoints that said in an answer to any host that they leave.
     :ivar lease_version: version of the lease's row in the store.
     :ivar revision: revision of the holdings.
     """
@@ -89,6 +99,7 @@
     configuration: int = 0
     suspects: tuple[SuspectEvent, ...] = ()
     part_events: tuple[PartEvent, ...] = ()
+    leaving: tuple[LeavingEndpoint, ...] = ()
     lease_version: int = 0
     revision: int = 0
     running_by_id: dict[str, int] = attrs.Factory(dict)
@@ -137,6 +148,7 @@
         known_fence=report.known_fence,
         known_revision=report.known_revision,
         down=sorted(report.down),
+        leaving=_encode_leaving(report.leaving, now),
     )
 
 
@@ -145,7 +157,7 @@
 
     :raises StepError: if a field is absent.
     """
-    require_fields(struct, struct.node or "")
+    require_fields(struct, struct.node or "", _OPTIONAL_FIELDS)
     return HostReport(
         node=struct.node,
         address=struct.address,
@@ -167,6 +179,7 @@
         known_fence=struct.known_fence,
         known_revision=struct.known_revision,
         down=frozenset(struct.down),
+        leaving=_decode_leaving(struct.leaving or (), now),
     )
 
 
@@ -199,6 +212,7 @@
             ttypes.EndpointUse(endpoint=endpoint, running=encode_count(running), model="")
             for endpoint, running in view.running_by_id.items()
         ],
+        leaving=_encode_leaving(view.leaving, now),
     )
 
 
@@ -207,7 +221,7 @@
 
     :raises StepError: if a field is absent.
     """
-    require_fields(struct, struct.node or "")
+    require_fields(struct, struct.node or "", _OPTIONAL_FIELDS)
     return HolderView(
         node=struct.node,
         fence=struct.fence,
@@ -233,6 +247,34 @@
         lease_version=struct.lease_version,
         revision=struct.revision,
         running_by_id={use.endpoint: max(0, use.running) for use in struct.uses},
+        leaving=_decode_leaving(struct.leaving or (), now),
+    )
+
+
+def _encode_leaving(
+    endpoints: Iterable[LeavingEndpoint], now: float
+) -> list[ttypes.LeavingEndpoint]:
+    newest = sorted(endpoints, key=lambda leaving: leaving.told_at, reverse=True)
+    return [
+        ttypes.LeavingEndpoint(
+            endpoint=leaving.endpoint,
+            boot_id=leaving.boot_id,
+            age_ms=encode_age(leaving.told_at, now),
+        )
+        for leaving in newest[:MAX_LEAVING_SENT]
+    ]
+
+
+def _decode_leaving(
+    structs: Iterable[ttypes.LeavingEndpoint], now: float
+) -> tuple[LeavingEndpoint, ...]:
+    return tuple(
+        LeavingEndpoint(
+            endpoint=struct.endpoint,
+            boot_id=struct.boot_id,
+            told_at=decode_age(struct.age_ms, now),
+        )
+        for struct in structs
     )
 
 
--- a/catkinhook/peering/thriftfields.py
+++ b/catkinhook/peering/thriftfields.py
@@ -4,7 +4,7 @@
 import the modules for documents and membership.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 from catkinhook.errors import StepError
@@ -18,15 +18,18 @@
 _MAX_I32 = 2**31 - 1
 
 
-def require_fields(struct: Any, peer: str) -> None:
+def require_fields(struct: Any, peer: str, optional: Collection[str] = ()) -> None:
     """Check that a struct from a peer has all of its fields, nested ones included.
 
+    :param optional: fields that older versions of the sender leave out.
     :raises StepError: if a field is absent, which thrift decodes as None.
     """
     for field in struct.thrift_spec:
         if field is None:
             continue
         value = getattr(struct, field[2])
+        if value is None and field[2] in optional:
+            continue
         if value is None:
             reason = f"field {field[2]!r} of {type(struct).__name__} is absent"
             raise StepError("wire", peer, reason)
--- a/catkinhook/requests/endpointavailability.py
+++ b/catkinhook/requests/endpointavailability.py
@@ -90,3 +90,8 @@
     def is_available(self, view: EndpointView) -> bool:
         """Return whether an endpoint may get requests."""
         return (view.endpoint, view.boot_id) not in self._leaving_by_boot
+
+    def leaving(self) -> list[LeavingEndpoint]:
+        """Return all endpoints that said that they leave, also those that are gone."""
+        with self._lock:
+            return list(self._leaving_by_boot.values())
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -6,7 +6,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -14,7 +14,7 @@
 from catkinhook.hostsettings import Bounds
 from catkinhook.requests import endpointselection, retries
 from catkinhook.requests.demand import ItemDemand
-from catkinhook.requests.endpointavailability import EndpointAvailability
+from catkinhook.requests.endpointavailability import EndpointAvailability, LeavingEndpoint
 from catkinhook.requests.endpointindex import EndpointIndex
 from catkinhook.requests.estimates import DecayingMean, Estimates
 from catkinhook.requests.outcomes import Outcome
@@ -221,6 +221,18 @@
         """Record the present load of an endpoint over all hosts."""
         self._load(endpoint).apply_report(LoadReport(running, waiting, 0.0, now))
 
+    def record_leaving(self, endpoints: Iterable[LeavingEndpoint], source: str, now: float) -> None:
+        """Record endpoints that said to another host that they leave.
+
+        Those that are not known here with the same boot are ignored; they are told again.
+
+        :param source: name of the host that told it.
+        """
+        for leaving in endpoints:
+            view = self._endpoint_by_id.get(leaving.endpoint)
+            if view is not None and view.boot_id == leaving.boot_id:
+                self._availability.record_leaving(view, source, leaving.told_at, now)
+
     # Requests.
 
     def submit(
@@ -442,6 +454,16 @@
         """Return the endpoints that refused a connection recently."""
         return {endpoint for endpoint, until in self._down_until.items() if until > now}
 
+    def leaving_endpoints(self) -> list[LeavingEndpoint]:
+        """Return the known endpoints that said that they leave."""
+        found = self._availability.leaving()
+        boots = ((leaving, self._endpoint_by_id.get(leaving.endpoint)) for leaving in found)
+        return [
+            leaving
+            for leaving, view in boots
+            if view is not None and view.boot_id == leaving.boot_id
+        ]
+
     def missing_items(self, now: float) -> set[tuple[str, str]]:
         """Return the items of queued requests that no reachable endpoint has."""
         found = {
--- a/catkinhook/thrift_hosts/ttypes.py
+++ b/catkinhook/thrift_hosts/ttypes.py
@@ -208,6 +208,85 @@
         return not (self == other)
 
 
+class LeavingEndpoint(object):
+    """
+    Attributes:
+     - endpoint
+     - boot_id
+     - age_ms
+
+    """
+
+
+    def __init__(self, endpoint=None, boot_id=None, age_ms=None,):
+        self.endpoint = endpoint
+        self.boot_id = boot_id
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingEndpoint')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.boot_id is not None:
+            oprot.writeFieldBegin('boot_id', TType.STRING, 2)
+            oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostReport(object):
     """
     Attributes:
@@ -222,11 +301,12 @@
      - known_fence
      - known_revision
      - down
+     - leaving
 
     """
 
 
-    def __init__(self, node=None, address=None, incarnation=None, configuration=None, items=None, uses=None, suspects=None, stopping=None, known_fence=None, known_revision=None, down=None,):
+    def __init__(self, node=None, address=None, incarnation=None, configuration=None, items=None, uses=None, suspects=None, stopping=None, known_fence=None, known_revision=None, down=None, leaving=None,):
         self.node = node
         self.address = address
         self.incarnation = incarnation
@@ -238,6 +318,7 @@
         self.known_fence = known_fence
         self.known_revision = known_revision
         self.down = down
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -326,6 +407,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = LeavingEndpoint()
+                        _elem29.read(iprot)
+                        self.leaving.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -355,22 +447,22 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter24 in self.items:
-                iter24.write(oprot)
+            for iter30 in self.items:
+                iter30.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter25 in self.uses:
-                iter25.write(oprot)
+            for iter31 in self.uses:
+                iter31.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter26 in self.suspects:
-                iter26.write(oprot)
+            for iter32 in self.suspects:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stopping is not None:
@@ -388,8 +480,15 @@
         if self.down is not None:
             oprot.writeFieldBegin('down', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.down))
-            for iter27 in self.down:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter33 in self.down:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter34 in self.leaving:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -456,20 +555,20 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.adapters.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.adapters.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -498,15 +597,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter40 in self.models:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter47 in self.models:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter41 in self.adapters:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter48 in self.adapters:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -620,11 +719,12 @@
      - lease_version
      - revision
      - uses
+     - leaving
 
     """
 
 
-    def __init__(self, node=None, fence=None, holds=None, holdings=None, expected=None, addresses=None, configuration=None, suspects=None, lease_version=None, revision=None, uses=None,):
+    def __init__(self, node=None, fence=None, holds=None, holdings=None, expected=None, addresses=None, configuration=None, suspects=None, lease_version=None, revision=None, uses=None, leaving=None,):
         self.node = node
         self.fence = fence
         self.holds = holds
@@ -636,6 +736,7 @@
         self.lease_version = lease_version
         self.revision = revision
         self.uses = uses
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -664,32 +765,32 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Holding()
-                        _elem47.read(iprot)
-                        self.holdings.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Holding()
+                        _elem54.read(iprot)
+                        self.holdings.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.expected = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = ExpectedItem()
-                        _elem53.read(iprot)
-                        self.expected.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = ExpectedItem()
+                        _elem60.read(iprot)
+                        self.expected.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem59)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -701,11 +802,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = catkinhook.thrift_gen.ttypes.Suspect()
-                        _elem65.read(iprot)
-                        self.suspects.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = catkinhook.thrift_gen.ttypes.Suspect()
+                        _elem72.read(iprot)
+                        self.suspects.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -722,11 +823,22 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = EndpointUse()
-                        _elem71.read(iprot)
-                        self.uses.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = EndpointUse()
+                        _elem78.read(iprot)
+                        self.uses.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = LeavingEndpoint()
+                        _elem84.read(iprot)
+                        self.leaving.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -755,22 +867,22 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter72 in self.holdings:
-                iter72.write(oprot)
+            for iter85 in self.holdings:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.expected is not None:
             oprot.writeFieldBegin('expected', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.expected))
-            for iter73 in self.expected:
-                iter73.write(oprot)
+            for iter86 in self.expected:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter74 in self.addresses:
-                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
+            for iter87 in self.addresses:
+                oprot.writeString(iter87.encode('utf-8') if sys.version_info[0] == 2 else iter87)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration is not None:
@@ -780,8 +892,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter75 in self.suspects:
-                iter75.write(oprot)
+            for iter88 in self.suspects:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
@@ -795,8 +907,15 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter76 in self.uses:
-                iter76.write(oprot)
+            for iter89 in self.uses:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter90 in self.leaving:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -915,11 +1034,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.entry_by_id = {}
-                    (_ktype78, _vtype79, _size77) = iprot.readMapBegin()
-                    for _i81 in range(_size77):
-                        _key82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val83 = iprot.readBinary()
-                        self.entry_by_id[_key82] = _val83
+                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
+                    for _i95 in range(_size91):
+                        _key96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val97 = iprot.readBinary()
+                        self.entry_by_id[_key96] = _val97
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -940,9 +1059,9 @@
         if self.entry_by_id is not None:
             oprot.writeFieldBegin('entry_by_id', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.entry_by_id))
-            for kiter84, viter85 in self.entry_by_id.items():
-                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
-                oprot.writeBinary(viter85)
+            for kiter98, viter99 in self.entry_by_id.items():
+                oprot.writeString(kiter98.encode('utf-8') if sys.version_info[0] == 2 else kiter98)
+                oprot.writeBinary(viter99)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -978,6 +1097,13 @@
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.STRING, 'model', 'UTF8', None, ),  # 3
 )
+all_structs.append(LeavingEndpoint)
+LeavingEndpoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'boot_id', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(HostReport)
 HostReport.thrift_spec = (
     None,  # 0
@@ -992,6 +1118,7 @@
     (9, TType.I64, 'known_fence', None, None, ),  # 9
     (10, TType.I64, 'known_revision', None, None, ),  # 10
     (11, TType.LIST, 'down', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (12, TType.LIST, 'leaving', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 12
 )
 all_structs.append(Holding)
 Holding.thrift_spec = (
@@ -1023,6 +1150,7 @@
     (9, TType.I64, 'lease_version', None, None, ),  # 9
     (10, TType.I64, 'revision', None, None, ),  # 10
     (11, TType.LIST, 'uses', (TType.STRUCT, [EndpointUse, None], False), None, ),  # 11
+    (12, TType.LIST, 'leaving', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 12
 )
 all_structs.append(ConfigurationText)
 ConfigurationText.thrift_spec = (
--- a/interfaces/hosts.thrift
+++ b/interfaces/hosts.thrift
@@ -20,6 +20,12 @@
   3: string model,           // model of these requests, empty for plain services and sums
 }
 
+struct LeavingEndpoint {
+  1: string endpoint,
+  2: string boot_id,
+  3: i32 age_ms,             // time since an answer of this boot said that it leaves
+}
+
 struct HostReport {
   1: string node,
   2: string address,         // IP:port of its thrift listener
@@ -32,6 +38,7 @@
   9: i64 known_fence,        // fencing token of the latest view that the sender received
   10: i64 known_revision,    // revision of that view
   11: list<string> down,     // endpoints that the sender recently failed to reach
+  12: optional list<LeavingEndpoint> leaving, // older senders leave it out
 }
 
 struct Holding {
@@ -60,6 +67,7 @@
   9: i64 lease_version,      // version of the lease's row in the store
   10: i64 revision,          // of the holdings
   11: list<EndpointUse> uses,// requests in progress of all hosts
+  12: optional list<LeavingEndpoint> leaving, // older senders leave it out
 }
 
 struct ConfigurationText {
