Send nothing to an endpoint for the time that its 503 asks for

Requests went on to endpoints that had refused one with 503 and `Retry-After`, and callers were refused after a round of useless attempts, or told to come back while all endpoints still wanted nothing.

Cause: an endpoint's `Retry-After` was dropped; a 503 counted as "not run" only. Class: as before, what an answer says beside its status is dropped.

The time of any 503 is read with the header of leaving, before all checks, and kept by id and boot for this host alone. It is a decimal number of seconds; dates and other texts ask for nothing, and 600 s is the longest pause. Until its end the scheduler leaves the endpoint out, and a request whose connection was being opened is not sent. If all endpoints of an item leave or pause, requests are refused at once, those that wait too, with the time until the first returns and up to a quarter more, so that callers don't come at one moment. Such a retry takes nothing from the retry budget. A thread of its own ends pauses, so that requests that wait for another endpoint start then. Orders and reports are not requests of callers and go on.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -36,9 +36,12 @@
 from catkinhook.requests.attempts import ConnectionPool
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.endpointavailability import (
+    LEAVING,
     OWN_SOURCE,
+    PAUSED,
     AvailabilityChange,
     EndpointAvailability,
+    PauseEnds,
 )
 from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
@@ -203,6 +206,7 @@
         rng = random.Random()
         availability = EndpointAvailability()
         availability.on_change = self._record_availability
+        self._pause_ends = PauseEnds(availability)
         scheduler = StateActor(
             Scheduler(
                 settings.zone,
@@ -308,6 +312,7 @@
             ("log", self.log),
             ("processor-time", ProcessorTimeLogger(self.log)),
             ("scheduler", scheduler),
+            ("pause-ends", self._pause_ends),
             ("connections", connections),
             ("caller-watch", disconnect_monitor),
             ("peer-pool", pool),
@@ -374,10 +379,13 @@
             boot_id=change.boot_id,
             source=change.source,
             age_s=round(change.age_s, 3),
+            pause_s=round(change.pause_s, 3),
         )
         now = time.monotonic()
         self._scheduler.tell(lambda scheduler: scheduler.dispatch_waiting(now))
-        if is_own:
+        if change.state == PAUSED:
+            self._pause_ends.notice()
+        if change.state == LEAVING and is_own:
             # The holder starts another copy of what the endpoint has.
             self.holder_link.request_exchange()
 
--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -29,7 +29,7 @@
         )
         self.availability = Counter(
             "endpoint_availability_changes",
-            "Endpoints that said that they leave, by what told this host.",
+            "Endpoints that left, paused or resumed, by what told this host.",
             ("state", "source"),
             **common,
         )
--- a/catkinhook/platform/protocolnames.py
+++ b/catkinhook/platform/protocolnames.py
@@ -16,6 +16,7 @@
 # Parts of the prompt in their order, as comma-separated "id:tokens".
 PROMPT_PARTS = "Prompt-Prefix"
 PRIORITY = "Request-Priority"
+# Seconds: in answers to callers, and of an endpoint's pause in its 503.
 RETRY_AFTER = "Retry-After"
 # "1" in all answers of an endpoint that is about to stop.
 LEAVING = "Server-Leaving"
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -25,7 +25,7 @@
 from catkinhook.requests.endpointavailability import OWN_SOURCE, EndpointAvailability
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
-from catkinhook.texts import parse_count
+from catkinhook.texts import parse_count, parse_decimal
 
 STEP = "upstream"
 CONNECT_TIMEOUT_S = 0.5
@@ -52,6 +52,7 @@
 MAX_LOGGED_ID_LENGTH = 64
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 # Statuses that promise to callers that the request did not run, beside 421. An endpoint states this
 # only with the header ``protocolnames.NOT_RUN``.
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
@@ -254,7 +255,7 @@
         A reserved place may be a second old when it is used, and a connection takes up to
         ``CONNECT_TIMEOUT_S`` to open.
         """
-        if not self._availability.is_available(self._endpoint):
+        if not self._availability.is_available(self._endpoint, time.monotonic()):
             reason = "asked for no more requests before this one was sent"
             raise self._error(reason, Ran.NO, Outcome.NOT_RUN, fault=UNAVAILABLE_FAULT)
 
@@ -320,6 +321,12 @@
         now = time.monotonic()
         if "1" in {value.strip() for value in headers.get_all(protocolnames.LEAVING, ())}:
             self._availability.record_leaving(endpoint, OWN_SOURCE, now, now)
+        if self.status == _UNAVAILABLE:
+            values = headers.get_all(protocolnames.RETRY_AFTER, ())
+            # Seconds only: a date would compare the clocks of two machines.
+            pauses_s = [parse_decimal(value.strip()) for value in values]
+            pause_s = max((seconds for seconds in pauses_s if seconds is not None), default=0.0)
+            self._availability.record_pause(endpoint, pause_s, now)
 
     def _check_request_id(self) -> None:
         """Raise an error unless the answer belongs to this request.
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -14,7 +14,11 @@
 from catkinhook.hostsettings import Bounds
 from catkinhook.requests import endpointselection, retries
 from catkinhook.requests.demand import ItemDemand
-from catkinhook.requests.endpointavailability import EndpointAvailability, LeavingEndpoint
+from catkinhook.requests.endpointavailability import (
+    MAX_PAUSE_S,
+    EndpointAvailability,
+    LeavingEndpoint,
+)
 from catkinhook.requests.endpointindex import EndpointIndex
 from catkinhook.requests.estimates import DecayingMean, Estimates
 from catkinhook.requests.outcomes import Outcome
@@ -261,9 +265,9 @@
         """
         if ran is not Ran.NO and not request.is_repeatable:
             return None
-        if has_reached_endpoint and not self._retry_budget(request.service).try_withdraw(
-            self.host_count, now
-        ):
+        # A retry that is refused at once is not a retry at an endpoint.
+        is_retry = has_reached_endpoint and self._find_next_return(request, now) is None
+        if is_retry and not self._retry_budget(request.service).try_withdraw(self.host_count, now):
             return None
         return self._enqueue(PendingRequest(request, exclude, on_decision, now, ran), now)
 
@@ -547,7 +551,7 @@
             endpoint
             for endpoint in self._index.find(service, item)
             if self._down_until.get(endpoint, 0.0) <= now
-            and self._availability.is_available(self._endpoint_by_id[endpoint])
+            and self._availability.is_available(self._endpoint_by_id[endpoint], now)
         ]
 
     def _has_capacity(self, view: EndpointView, request: RoutedRequest) -> bool:
@@ -654,7 +658,9 @@
         if self._is_stopping:
             # Another host can queue the request for longer than this process will run.
             ready_at, reason = now, f"the host is stopping; {reason}"
-        retry_after_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, ready_at - now))
+        # The end of a pause is known, and callers that come earlier are refused again.
+        longest_s = RETRY_AFTER_MAX_S if next_at is None else MAX_PAUSE_S
+        retry_after_s = min(longest_s, max(RETRY_AFTER_MIN_S, ready_at - now))
         if not math.isfinite(retry_after_s):
             retry_after_s = RETRY_AFTER_MAX_S
         retry_after_s *= 1.0 + RETRY_AFTER_JITTER_RATIO * self._rng.random()
@@ -663,14 +669,18 @@
         return Refusal(STEP, "", reason, "no-capacity", status, pending.ran, retry_after_s)
 
     def _find_next_return(self, request: RoutedRequest, now: float) -> float | None:
-        """Return when an item may be available again, None unless all its endpoints are leaving.
+        """Return when an item may be available again, None unless all endpoints leave or pause.
 
-        A request then waits only for another copy that the holder has announced.
+        If one of them pauses, requests don't wait for the end of the pause, where they would all
+        start at once. If all leave, they wait for another copy that the holder has announced.
         """
         key = (request.service, request.item)
         views = [self._endpoint_by_id[endpoint] for endpoint in self._index.find(*key)]
-        if not views or any(self._availability.is_available(view) for view in views):
+        if not views or any(self._availability.is_available(view, now) for view in views):
             return None
+        ends = [self._availability.find_pause_end(view) for view in views]
+        if any(end is not None for end in ends):
+            return min(end for end in ends if end is not None)
         return None if key in self._forecast_by_item else now + LEAVING_RETRY_AFTER_S
 
     def _predict_start(self, pending: PendingRequest, queued_ahead: int, now: float) -> float:
@@ -695,7 +705,7 @@
             return self._explain_full(request, now)
         name = repr(request.item or request.service)
         if self._find_next_return(request, now) is not None:
-            reason = f"all endpoints of {name} are leaving"
+            reason = f"all endpoints of {name} are leaving or pausing"
         elif key in self._forecast_by_item:
             reason = f"{name} is not available yet"
         else:
--- a/tests/test_endpointavailability.py
+++ b/tests/test_endpointavailability.py
@@ -1,19 +1,24 @@
 """Decisions of a host about endpoints that ask for no requests."""
 
 import random
+import threading
+import time
 import unittest
 
 import attrs
 
-from catkinhook.errors import Refusal
+from catkinhook.errors import Ran, Refusal
 from catkinhook.hostsettings import Bounds
 from catkinhook.requests.endpointavailability import (
     MAX_LEAVING,
+    MAX_PAUSE_S,
+    MAX_PAUSED,
     OWN_SOURCE,
     AvailabilityChange,
     EndpointAvailability,
+    PauseEnds,
 )
-from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.hostscheduler import RETRY_AFTER_JITTER_RATIO, Scheduler
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import EngineSpec, Route, RouteTable, ServiceSpec
@@ -22,6 +27,8 @@
 from tests.test_hostscheduler import LIVE
 
 SLOTS = 2
+# Only detects a hang.
+WAIT_S = 10.0
 
 
 def make_view(name: str, boot_id: str = "1") -> EndpointView:
@@ -188,5 +195,160 @@
         self.assertFalse(self.availability.is_leaving("x0", "1"))
 
 
+class PausesTest(AvailabilityCase):
+    """Endpoints that asked this host for a pause."""
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Record a pause, and decide on the requests that wait."""
+        self.availability.record_pause(self.views[name], seconds, self.now)
+        self.scheduler.dispatch_waiting(self.now)
+
+    def pass_time(self, seconds: float) -> None:
+        """Advance the clock, end pauses and decide on the requests that wait."""
+        self.now += seconds
+        self.availability.end_pauses(self.now)
+        self.scheduler.dispatch_waiting(self.now)
+
+    def test_endpoint_that_pauses_gets_no_request_until_the_end(self) -> None:
+        """Guards against requests to an endpoint that wants none, and against a longer pause."""
+        self.pause("e1", 3.0)
+        self.assertEqual(self.used_endpoints(4), {"e2"})
+        self.pass_time(2.9)
+        self.assertEqual(self.used_endpoints(4), {"e2"})
+        self.pass_time(0.1)
+        self.pause("e2", 1.0)
+        self.assertEqual(self.used_endpoints(4), {"e1"})
+
+    def test_shorter_pause_does_not_end_a_longer_one(self) -> None:
+        """Guards against requests after a second refusal that asks for less time."""
+        self.pause("e1", 3.0)
+        self.pause("e1", 0.1)
+        self.pass_time(1.0)
+        self.assertEqual(self.used_endpoints(4), {"e2"})
+
+    def test_no_pause_is_for_ever(self) -> None:
+        """Guards against an endpoint that one absurd value takes out of use."""
+        self.pause("e1", float("inf"))
+        self.pass_time(MAX_PAUSE_S)
+        self.pause("e2", 1.0)
+        self.assertEqual(self.used_endpoints(4), {"e1"})
+
+    def test_next_boot_has_no_pause(self) -> None:
+        """Guards against leaving out an endpoint that started again under its id."""
+        self.pause("e1", 30.0)
+        self.pause("e2", 30.0)
+        self.views["e1"] = make_view("e1", boot_id="2")
+        self.scheduler.set_endpoints(dict(self.views), self.now)
+        self.assertEqual(self.used_endpoints(4), {"e1"})
+
+    def test_request_is_refused_with_the_time_of_the_first_that_returns(self) -> None:
+        """Guards against a wait for the end of all pauses, and against callers at one moment."""
+        self.pause("e1", 12.0)
+        self.pause("e2", 20.0)
+        times = []
+        for number in range(20):
+            refusal = self.submit(f"r{number}")
+            self.assertIsInstance(refusal, Refusal)
+            self.assertEqual(refusal.status, 503)
+            times.append(refusal.retry_after_s)
+        self.assertGreaterEqual(min(times), 12.0)
+        self.assertLessEqual(max(times), 12.0 * (1 + RETRY_AFTER_JITTER_RATIO))
+        self.assertGreater(len(set(times)), 10)
+
+    def test_waiting_requests_are_refused_when_all_pause(self) -> None:
+        """Guards against requests that start together at the end of a pause."""
+        self.fill_slots()
+        self.assertIsNone(self.submit("waits"))
+        self.pause("e1", 2.0)
+        self.assertNotIn("waits", self.decisions)
+        self.pause("e2", 2.0)
+        self.assertIsInstance(self.decisions["waits"], Refusal)
+
+    def test_pause_beside_leaving(self) -> None:
+        """Guards against callers that are told the end of a pause of an endpoint that leaves."""
+        self.pause("e1", 2.0)
+        self.record_leaving("e1")
+        self.pause("e2", 9.0)
+        self.assertGreaterEqual(self.submit("r").retry_after_s, 9.0)
+        self.pass_time(2.0)
+        self.assertIsInstance(self.submit("s"), Refusal)
+        self.pass_time(7.0)
+        self.assertEqual(self.used_endpoints(4), {"e2"})
+
+    def test_request_that_waits_starts_at_the_end_of_a_pause(self) -> None:
+        """Guards against a wait for the next exchange with the holder."""
+        self.pause("e1", 2.0)
+        for number in range(SLOTS):
+            self.assertIsInstance(self.submit(f"f{number}"), Assignment)
+        self.assertIsNone(self.submit("waits"))
+        self.pass_time(2.0)
+        self.assertEqual(self.decisions["waits"].endpoint.endpoint, "e1")
+
+    def test_retry_that_is_refused_at_once_takes_nothing_from_the_budget(self) -> None:
+        """Guards against a budget that is used up by requests that reach no endpoint.
+
+        Such a request got the fixed time of a used-up budget instead of that of the pause, too.
+        """
+        self.pause("e1", 3.0)
+        self.pause("e2", 3.0)
+        for number in range(50):
+            request = self.make_request(f"r{number}")
+            decisions: list[Decision] = []
+            pending = self.scheduler.resubmit(
+                request, frozenset({"e1"}), Ran.NO, decisions.append, self.now
+            )
+            self.assertIsNotNone(pending)
+            self.assertGreaterEqual(decisions[0].retry_after_s, 3.0)
+        self.pass_time(3.0)
+        request = self.make_request("after")
+        self.assertIsNotNone(
+            self.scheduler.resubmit(request, frozenset(), Ran.NO, lambda decision: None, self.now)
+        )
+
+    def test_changes_are_reported_with_length_and_age(self) -> None:
+        """Guards against a line for each refusal, and against pauses without an end in the log."""
+        self.pause("e1", 2.0)
+        self.now += 0.5
+        self.pause("e1", 2.0)
+        self.assertEqual(self.availability.end_pauses(self.now), self.now + 2.0)
+        self.pass_time(2.0)
+        self.assertEqual(
+            [(change.state, change.age_s, change.pause_s) for change in self.changes],
+            [("paused", 0.0, 2.0), ("resumed", 2.0, 2.0)],
+        )
+
+    def test_memory_of_pauses_is_bounded(self) -> None:
+        """Guards against growth with each endpoint of a long life of the process."""
+        for number in range(MAX_PAUSED + 10):
+            self.availability.record_pause(make_view(f"x{number}"), 5.0 + number, self.now)
+        self.assertTrue(self.availability.is_available(make_view("x0"), self.now))
+        last = make_view(f"x{MAX_PAUSED + 9}")
+        self.assertFalse(self.availability.is_available(last, self.now))
+
+
+class PauseEndsTest(unittest.TestCase):
+    """Thread that ends pauses."""
+
+    def test_each_pause_ends_in_time(self) -> None:
+        """Guards against a thread that waits for the end of a later pause, or never wakes up."""
+        availability = EndpointAvailability()
+        ended = {name: threading.Event() for name in ("e1", "e2")}
+        pause_ends = PauseEnds(availability)
+
+        def on_change(change: AvailabilityChange) -> None:
+            if change.state == "resumed":
+                ended[change.endpoint].set()
+            else:
+                pause_ends.notice()
+
+        availability.on_change = on_change
+        pause_ends.start()
+        self.addCleanup(pause_ends.close)
+        for name, seconds in (("e1", 60.0), ("e2", 0.1)):
+            availability.record_pause(make_view(name), seconds, time.monotonic())
+        self.assertTrue(ended["e2"].wait(WAIT_S))
+        self.assertFalse(ended["e1"].is_set())
+
+
 if __name__ == "__main__":
     unittest.main()
