--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -3,12 +3,13 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from catkinhook.errors import Ran
 from catkinhook.hostsettings import Bounds
 from catkinhook.platform.upstream import EndpointAnswer
 from catkinhook.requests.attempts import AttemptError, ConnectionPool
-from catkinhook.requests.endpointactivity import EndpointActivity
+from catkinhook.requests.endpointactivity import SILENCE_TIMEOUT_S, EndpointActivity
 from catkinhook.requests.endpointavailability import MAX_PAUSE_S, EndpointAvailability
 from catkinhook.requests.routedrequest import Assignment
 from catkinhook.state.views import EndpointView
@@ -104,6 +105,34 @@
         is_free_at = min(request.received_at for request in other.received) + other.head_pause_s
         self.assertLess(first.received[0].received_at, is_free_at)
 
+    def test_reserved_place_is_not_used_after_its_endpoint_asked_for_a_pause(self) -> None:
+        """Guards against requests that reach an endpoint by a place that they reserved before."""
+        silent, reserved = self.engines
+        self.store.drop("servers", reserved.endpoint)
+        wait_until(
+            lambda: self.host._scheduler.ask(lambda s: reserved.endpoint not in s._endpoint_by_id)
+        )
+        silent.head_pause_s = SILENCE_TIMEOUT_S + 1.0
+        try_move = self.host._forwarder.try_move
+        places = []
+
+        def reserve(job: object) -> Assignment | None:
+            assignment = try_move(job)
+            if assignment is not None:
+                places.append(assignment)
+                availability = self.host._scheduler.ask(lambda s: s._availability)
+                availability.record_pause(assignment.endpoint, 30.0, time.monotonic())
+            return assignment
+
+        with mock.patch.object(self.host._forwarder, "try_move", reserve):
+            sent = threading.Thread(target=self.send, args=("/live/x",))
+            sent.start()
+            wait_until(lambda: bool(silent.received))
+            self.store.put("servers", reserved.endpoint, reserved.entry("llm"))
+            sent.join()
+        self.assertEqual([place.endpoint.endpoint for place in places], [reserved.endpoint])
+        self.assertEqual(reserved.received, [])
+
     def test_orders_reach_an_engine_that_pauses(self) -> None:
         """Guards against a holder that places no models while requests are refused."""
         self.set_pause(self.engines, "30")
