--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -33,6 +33,12 @@
             ("state",),
             **common,
         )
+        self.availability = Counter(
+            "endpoint_availability_changes",
+            "Endpoints that left, paused or resumed, by what told this host.",
+            ("state", "source"),
+            **common,
+        )
         self.duration = Histogram(
             "request_seconds",
             "Time to the end of the answer.",
