Let the allocator of a host keep less freed memory

Callers saw nothing of this by itself; it makes any bound on held bytes hold for the process.

Cause: glibc gives threads up to eight arenas per core, each of which keeps the memory of its own peak, and lets buffers of up to 32 MiB stay in them once one of that size was freed. A host has 230 threads.

No unit test shows it: what an arena keeps depends on the interleaving of threads.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -15,6 +15,7 @@
 
 from catkinhook import __version__
 from catkinhook.addresses import split_address
+from catkinhook.allocator import limit_kept_memory
 from catkinhook.control.ordercoordinator import OrderCoordinator
 from catkinhook.control.orderlease import OrderLease
 from catkinhook.control.orderleasemanager import LeaseManager
@@ -436,6 +437,7 @@
     :param reload_settings: reads the settings again, after SIGHUP.
     """
     threading.stack_size(THREAD_STACK_BYTES)
+    is_memory_limited = limit_kept_memory()
     host = Host(settings, platform)
     next_signal = receive_signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     host.kernel.start()
@@ -446,6 +448,7 @@
         pid=os.getpid(),
         incarnation=host.incarnation,
         version=__version__,
+        limits_kept_memory=is_memory_limited,
     )
     while next_signal() == signal.SIGHUP:
         host.log.record("process", outcome=f"reload: {reload_settings()}")
