Bound the bytes of answers that a host holds together

Callers lost their requests when the host's process ended for lack of memory: each answer was bounded by 8 MiB, but 224 of them were not bounded together, and each was joined into a second copy.

Cause: the bound was one of a request, the memory is one of the process.

Fix: MemoryBudget, an account of the held bytes of a process whose limit is derived from memory_mb. A reader takes bytes from it before it keeps them. At the limit the largest holder is dropped, not the newest, so that sound requests go on beside endless answers; its attempt fails and may go on elsewhere. Held answers are passed on part by part instead of joined. Unfinished events are in the same account. The gauge held_bytes, the counter evictions and a log line show it.

--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -38,6 +38,7 @@
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.memorybudget import MemoryBudget, derive_limit
 from catkinhook.requests.partquarantine import Quarantine
 from catkinhook.requests.quarantinecontrol import QuarantineControl
 from catkinhook.requests.routetable import RouteTable
@@ -277,6 +278,7 @@
             lambda: (self.configuration.version, self.configuration.text),
             lambda: self.endpoints.entries,
         )
+        self.memory = MemoryBudget(derive_limit(settings.memory_mb), self._record_eviction)
         self._forwarder = forwarder = Forwarder(
             scheduler,
             disconnect_monitor,
@@ -284,6 +286,7 @@
             self.log,
             self.holder_link.request_exchange,
             self.holder_link.push_evidence,
+            self.memory,
         )
         front = platform.make_front_application(
             lambda: self.configuration.table, forwarder, connections, self.state
@@ -356,8 +359,15 @@
 
     def _render_metrics(self) -> bytes:
         self.metrics.in_progress.set(self.state.in_progress)
+        self.metrics.held_bytes.set(self.memory.held)
         return self.metrics.render()
 
+    def _record_eviction(self, kind: str, size: int) -> None:
+        self.metrics.evictions.labels(kind).inc()
+        self.log.record(
+            "memory", outcome=f"evicted: {kind}", bytes=size, limit_bytes=self.memory.limit
+        )
+
     def _record_unanswered(self, unanswered: UnansweredRequest) -> None:
         self.metrics.unanswered.labels(unanswered.why).inc()
         # Callers often leave, and then the line of the request says so.
--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -38,6 +38,15 @@
             "first_event_seconds", "Time to the first bytes.", labels, buckets=_BUCKETS_S, **common
         )
         self.in_progress = Gauge("requests_in_progress", "Requests that hold a slot.", **common)
+        self.held_bytes = Gauge(
+            "held_bytes", "Bytes that are held for requests in progress.", **common
+        )
+        self.evictions = Counter(
+            "evictions",
+            "Bodies and other bytes that were dropped at the memory limit, by kind.",
+            ("kind",),
+            **common,
+        )
         self.report_wait = Histogram(
             "holder_report_wait_seconds",
             "Wait of another host's report for the actor of the holder.",
--- a/catkinhook/requests/eventsplitter.py
+++ b/catkinhook/requests/eventsplitter.py
@@ -30,6 +30,11 @@
         self._pending = b""
         self._last_block = b""
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the number of bytes that are held until their event is complete."""
+        return len(self._pending)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the blocks of lines that are complete with these bytes.
 
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -17,6 +17,12 @@
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
+from catkinhook.requests.memorybudget import (
+    HeldBody,
+    MemoryBudget,
+    MemoryHolder,
+    MemoryLimitError,
+)
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import (
     Assignment,
@@ -44,11 +50,13 @@
 MIN_ATTEMPT_TIME_S = 0.03
 # Time after the caller's deadline for which a decision of the scheduler is still awaited.
 DECISION_GRACE_S = 1.0
-# Largest answer that is buffered before it is sent, which bounds the memory of a request.
+# Largest answer that is held before it is sent. ``MemoryBudget`` bounds the sum over all requests.
 MAX_ANSWER_BYTES = 8 * MIB
 EVENT_STREAM = "text/event-stream"
 # Fault of an answer whose events are incomplete or out of order.
 SEQUENCE_FAULT = "sequence"
+# Fault of an answer with more bytes than an answer may have, or than this process can hold.
+UNBOUNDED_FAULT = "unbounded"
 
 
 class UpstreamAnswer(Protocol):
@@ -123,7 +131,8 @@
 class Reply:
     """Answer to the caller.
 
-    :ivar body: chunks; if the iterator raises, the connection is closed.
+    :ivar body: chunks; if the iterator raises, the connection is closed. Its method ``close`` must
+        be called if it has one.
     :ivar length: length of the body in bytes, None for a stream.
     """
 
@@ -142,6 +151,7 @@
 
     :param on_waiting: called when a request has to wait for an endpoint.
     :param on_crash: called when there is new evidence about prompt parts that crash engines.
+    :ivar memory: account of the bytes that requests hold.
     """
 
     def __init__(
@@ -152,7 +162,9 @@
         log: DecisionLog,
         on_waiting: Callable[[], None],
         on_crash: Callable[[], None],
+        memory: MemoryBudget,
     ) -> None:
+        self.memory = memory
         self._scheduler = scheduler
         self._monitor = monitor
         self._metrics = metrics
@@ -567,6 +579,22 @@
         time_left = max(MIN_ATTEMPT_TIME_S, self.request.deadline - time.monotonic())
         return answer.read(self._silence_timeout(time_left), self._try_move)
 
+    @contextlib.contextmanager
+    def _memory_errors(
+        self, assignment: Assignment, held: HeldBody | MemoryHolder
+    ) -> Iterator[None]:
+        """Raise an ``AttemptError`` for an attempt that was evicted from memory.
+
+        The eviction aborts the read in progress, whose error would be that of a caller who left.
+        """
+        try:
+            yield
+        except (AttemptError, MemoryLimitError) as error:
+            if not held.is_evicted:
+                raise
+            reason = "endpoint sent more bytes than this process can hold"
+            raise _make_unbounded_error(assignment, reason) from error
+
     def _silence_timeout(self, time_left: float) -> float:
         """Return the longest wait in seconds for the next bytes of an endpoint."""
         route = self.request.route
@@ -608,14 +636,25 @@
         )
 
     def _read_complete_answer(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
-        parts, size = [], 0
-        while part := self._read(answer):
-            parts.append(part)
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
-                reason = f"endpoint sent more than {MAX_ANSWER_BYTES} bytes"
-                raise AttemptError(STEP, assignment.endpoint.endpoint, reason, Ran.UNKNOWN)
-        body = b"".join(parts)
+        body = HeldBody(self._forwarder.memory, answer.abort)
+        try:
+            with self._memory_errors(assignment, body):
+                while part := self._read(answer):
+                    body.append(part)
+                    if body.size > MAX_ANSWER_BYTES:
+                        reason = f"endpoint sent more than {MAX_ANSWER_BYTES} bytes"
+                        raise _make_unbounded_error(assignment, reason)
+                if body.is_evicted:
+                    raise MemoryLimitError("the answer was dropped when it was complete")
+            return self._finish_answer(assignment, answer, body)
+        except BaseException:
+            body.close()
+            raise
+
+    def _finish_answer(
+        self, assignment: Assignment, answer: UpstreamAnswer, body: HeldBody
+    ) -> Reply:
+        """End an attempt whose answer is complete."""
         self.progress = AttemptProgress.EVENTS
         self.first_received_at = time.monotonic()
         is_failure = answer.status >= 500
@@ -642,10 +681,8 @@
         self._forwarder.finish(assignment, outcome)
         self.ran = Ran.YES
         self._forwarder.record_end(self, "answered", answer.status)
-        length = answer.announced_length if answer.is_to_head else len(body)
-        return Reply(
-            status=answer.status, headers=answer.headers, body=iter((body,)), length=length
-        )
+        length = answer.announced_length if answer.is_to_head else body.size
+        return Reply(status=answer.status, headers=answer.headers, body=body, length=length)
 
     def _begin_stream(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
         chunks = self._read_events(assignment, answer)
@@ -661,6 +698,13 @@
         :raises AttemptError: if the attempt failed, or its answer is not a stream of events that
             continues what the caller received.
         """
+        held = self._forwarder.memory.open("event", answer.abort)
+        with contextlib.closing(held), self._memory_errors(assignment, held):
+            yield from self._split_events(assignment, answer, held)
+
+    def _split_events(
+        self, assignment: Assignment, answer: UpstreamAnswer, held: MemoryHolder
+    ) -> Iterator[bytes]:
         splitter = EventSplitter()
         is_started = False
         unrecorded = 0
@@ -669,6 +713,7 @@
                 raise EventError("the answer is not a stream of events")
             while data := self._read(answer):
                 chunk, events, error = self._accept(splitter.feed(data))
+                held.resize(splitter.pending_bytes)
                 if events and self.first_received_at is None:
                     self.first_received_at = time.monotonic()
                 if events and not is_started:
@@ -825,6 +870,12 @@
         return Refusal(error.step, error.peer, reason, code, status, self.ran, 0.5)
 
 
+def _make_unbounded_error(assignment: Assignment, reason: str) -> AttemptError:
+    return AttemptError(
+        STEP, assignment.endpoint.endpoint, reason, Ran.UNKNOWN, fault=UNBOUNDED_FAULT
+    )
+
+
 def _is_event_stream(answer: UpstreamAnswer) -> bool:
     """Return whether the type of an answer is that of a stream of events, or missing."""
     types = [value for name, value in answer.headers if name.lower() == "content-type"]
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,35 @@
+"""Memory of a host whose endpoints send bytes without end, or whose callers don't read.
+
+Hosts run as separate processes; the peak of their resident memory is that of the kernel.
+"""
+
+import unittest
+
+from tests.memory_host import Measurement, measure
+
+# The smallest memory limit of the users' deployments.
+MEMORY_MB = 160
+CALLERS = 60
+
+
+class EndlessBytesTest(unittest.TestCase):
+    """A host must stay within its memory limit, and serve other requests meanwhile."""
+
+    def check(self, kind: str, callers: int = CALLERS) -> Measurement:
+        """Measure a host under one kind of load."""
+        measurement = measure(kind, callers, MEMORY_MB)
+        figures = measurement.describe()
+        self.assertIsNone(measurement.exit_code, figures)
+        self.assertLess(measurement.peak_mb, MEMORY_MB, figures)
+        self.assertEqual(set(measurement.calm_statuses), {200}, figures)
+        return measurement
+
+    def test_endless_bodies_of_many_callers_stay_within_the_memory_limit(self) -> None:
+        """Endless bodies must not fill the memory of the host, though each of them is bounded."""
+        for kind in ("body", "chunks", "held body"):
+            with self.subTest(kind):
+                self.assertNotIn(200, self.check(kind).statuses)
+
+
+if __name__ == "__main__":
+    unittest.main()
