Let endpoints wait for callers that don't read

Callers lost their requests when other callers didn't read their answers: the host's process kept up to 16 MiB of output for each, and the buffer of a stream grew to that size even where it was read.

Cause: waitress's default of the high-water mark, and a wait at it without an end of its own.

Fix: a thread with more than 64 KiB of unsent output waits, and so does its endpoint. The wait ends when the caller reads or leaves, or a second after the request's deadline, which closes the connection.

--- a/catkinhook/answertask.py
+++ b/catkinhook/answertask.py
@@ -8,6 +8,9 @@
 
 # WSGI environment key of a function that returns whether too much output is unsent.
 OUTPUT_BACKLOGGED = "catkinhook.is_behind"
+# WSGI environment key of a function that sets the time on the monotonic clock at which an answer
+# ends whose caller doesn't read it.
+END_OUTPUT_AT = "catkinhook.end_output_at"
 # WSGI environment key of the request parser, which keeps the original header lines.
 PARSED_REQUEST = "catkinhook.parsed"
 # A stream with more unsent output than this is returned from the thread that all streams share to
@@ -16,7 +19,7 @@
 
 
 class Task(WSGITask):
-    """WSGI task that adds ``OUTPUT_BACKLOGGED`` and ``PARSED_REQUEST`` to the environment.
+    """WSGI task that adds the keys of this module to the environment.
 
     A response that is broken off never looks complete, one to HEAD has no body, and one that is not
     complete is reported; waitress drops each ``OSError`` silently.
@@ -81,9 +84,13 @@
         """Return the WSGI environment."""
         environ = super().get_environment()
         environ[OUTPUT_BACKLOGGED] = self._is_backlogged
+        environ[END_OUTPUT_AT] = self._end_output_at
         environ[PARSED_REQUEST] = self.request
         return environ
 
+    def _end_output_at(self, seconds: float) -> None:
+        self.channel.output_ends_at = seconds
+
     def _is_backlogged(self) -> bool:
         return self.channel.total_outbufs_len > MAX_BACKLOG_BYTES
 
--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -72,6 +72,9 @@
     is_answered = False
     # Whether no further request is read, because the process ends.
     _is_finishing = False
+    # Time on the monotonic clock after which the thread of a request waits no longer for a caller
+    # that doesn't read.
+    output_ends_at = float("inf")
     # The request that a thread serves, and whether that thread has begun its answer.
     _running: Parser | None = None
     _has_begun_answer = False
@@ -119,6 +122,7 @@
                 return
             request = self._running = self.requests[0]
             self._has_begun_answer = False
+            self.output_ends_at = float("inf")
         requests = self.requests
         dropped: list[Parser] = []
         try:
@@ -137,16 +141,49 @@
             self.server.pull_trigger()
 
     def write_soon(self, data: bytes) -> int:
-        """Queue output of the thread that serves a request.
+        """Queue output of the thread that serves a request; wait if too much is unsent.
 
         :raises ClientDisconnected: if the event loop has answered the request.
+        :raises TimeoutError: if the caller doesn't read until ``output_ends_at``.
         """
         with self._answer_lock:
             if self.is_answered:
                 raise ClientDisconnected
             self._has_begun_answer = self._has_begun_answer or bool(data)
+        self._wait_for_caller()
         return super().write_soon(data)
 
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        """Do nothing; waitress would wait for as long as the connection lasts."""
+
+    def _wait_for_caller(self) -> None:
+        """Wait until the caller has read enough of the output, or left.
+
+        :raises TimeoutError: at ``output_ends_at``; the connection is then closed.
+        """
+        with self.outbuf_lock:
+            if self.total_outbufs_len > self.adj.outbuf_high_watermark:
+                self._flush_exception(self._flush_some, do_close=False)
+            while self.connected and self.total_outbufs_len > self.adj.outbuf_high_watermark:
+                seconds = self.output_ends_at - time.monotonic()
+                if seconds <= 0:
+                    break
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(min(seconds, threading.TIMEOUT_MAX))
+            else:
+                return
+        self.close_from_thread()
+        raise TimeoutError("the caller did not read its answer in time")
+
+    def close_from_thread(self) -> None:
+        """Close the connection; called by any thread.
+
+        The event loop would otherwise close it only when it can be written to, which a connection
+        whose caller reads nothing never can.
+        """
+        self.will_close = True
+        self.server.trigger.pull_trigger(self.handle_close)
+
     def answer_unfinished(self) -> AnsweredRequest | None:
         """Answer the first request unless its thread has begun to, and close the connection.
 
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -61,6 +61,9 @@
 CONNECTION_LIMIT = 1500
 MAX_HEADER_BYTES = 64 * KIB
 MAX_BODY_BYTES = 8 * MIB
+# Output of one caller that is not sent yet, beyond which the thread of its request waits. The
+# endpoint then has to wait, too.
+MAX_UNSENT_BYTES = 64 * KIB
 # Much longer than callers' own idle timeouts, so that callers close idle connections first.
 CHANNEL_TIMEOUT_S = 120
 CALLER_CHECK_INTERVAL_S = 0.1
@@ -162,6 +165,7 @@
             max_request_body_size=MAX_BODY_BYTES,
             inbuf_overflow=MAX_BODY_BYTES + MIB,
             outbuf_overflow=MAX_BODY_BYTES + MIB,
+            outbuf_high_watermark=MAX_UNSENT_BYTES,
             channel_request_lookahead=1,
             channel_timeout=CHANNEL_TIMEOUT_S,
             asyncore_use_poll=True,
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -10,7 +10,7 @@
 import attrs
 import xxhash
 
-from catkinhook.answertask import PARSED_REQUEST
+from catkinhook.answertask import END_OUTPUT_AT, PARSED_REQUEST
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.hoststate import HostState
 from catkinhook.platform import protocolnames
@@ -26,6 +26,8 @@
 STEP = "front"
 # Default deadline of requests, and upper limit on the deadlines that callers send.
 MAX_DEADLINE_S = 120.0
+# Time after the deadline of a request in which its caller may still read the rest of the answer.
+OUTPUT_GRACE_S = 1.0
 # Larger token counts of a request are not believed.
 MAX_TOKENS = 10**9 - 1
 
@@ -117,6 +119,9 @@
         request = self._route_request(inbound, route, request_id, table.version)
         if not self._state.may_accept(request.deadline):
             raise _make_busy_refusal("the host is stopping")
+        end_output_at = environ.get(END_OUTPUT_AT)
+        if end_output_at is not None:
+            end_output_at(request.deadline + OUTPUT_GRACE_S)
         upstream = RequestUpstream(
             self._connections,
             self._activity,
--- a/tests/memory_host.py
+++ b/tests/memory_host.py
@@ -72,13 +72,15 @@
 
     :ivar kind: key of ``_REPEATED_BY_KIND``, ``events`` (valid events without end), ``large`` (a
         sound answer) or empty for regular answers.
-    :ivar sent: bytes sent of all answers that are not regular.
+    :ivar sent: bytes sent of all answers without end.
+    :ivar ended_answers: number of answers that are not regular and ended.
     """
 
-    def __init__(self, endpoint: str, kind: str = "", models: tuple[str, ...] = ()) -> None:
+    def __init__(self, endpoint: str, models: tuple[str, ...] = (), kind: str = "") -> None:
         super().__init__(endpoint, models)
         self.kind = kind
         self.sent = 0
+        self.ended_answers = 0
         self.ended = threading.Event()
 
     def entry(self, service: str, zone: str = "z1") -> dict:
@@ -95,8 +97,11 @@
             super()._handle_request(request)
             return
         request.close_connection = True
-        with contextlib.suppress(OSError):
-            self._send_answer(request)
+        try:
+            with contextlib.suppress(OSError):
+                self._send_answer(request)
+        finally:
+            self.ended_answers += 1
 
     def _send_answer(self, request: BaseHTTPRequestHandler) -> None:
         status = "503 Service Unavailable" if self.kind == "refusal" else "200 OK"
@@ -108,7 +113,7 @@
         if self.kind not in ("no head", "interim"):
             request.wfile.write((head + framing).encode())
         if self.kind == "large":
-            self._send_large(request)
+            request.wfile.write(_LARGE_ANSWER)
             return
         sent = number = 0
         ends_at = time.monotonic() + MAX_SENDING_S
@@ -124,10 +129,13 @@
             sent += len(data)
             self.sent += len(data)
 
-    def _send_large(self, request: BaseHTTPRequestHandler) -> None:
-        for _ in range(LARGE_ANSWER_BYTES // len(_BLOCK)):
-            request.wfile.write(_BLOCK)
-            self.sent += len(_BLOCK)
+    @staticmethod
+    def large_answer() -> bytes:
+        """Return the body of a large answer, in which no two places look the same."""
+        return b"".join(b"%015x\n" % number for number in range(LARGE_ANSWER_BYTES // 16))
+
+
+_LARGE_ANSWER = MisbehavingEndpoint.large_answer()
 
 
 @attrs.frozen(kw_only=True)
@@ -182,8 +190,8 @@
 
     def __init__(self, folder: Path, kind: str, memory_mb: int = DEFAULT_MEMORY_MB) -> None:
         self.store = FakeStore()
-        self.faulty = [MisbehavingEndpoint(f"i-d{number}", kind) for number in (1, 2)]
-        self.engines = [MisbehavingEndpoint(f"i-e{number}", kind, ("m1",)) for number in (1, 2)]
+        self.faulty = [MisbehavingEndpoint(f"i-d{number}", (), kind) for number in (1, 2)]
+        self.engines = [MisbehavingEndpoint(f"i-e{number}", ("m1",), kind) for number in (1, 2)]
         self.calm = [MisbehavingEndpoint("i-c1")]
         self.front_address, self.ready_address, peer_address = (
             f"127.0.0.1:{find_port()}" for _ in range(3)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -30,6 +30,12 @@
             with self.subTest(kind):
                 self.assertNotIn(200, self.check(kind).statuses)
 
+    def test_answers_that_many_callers_do_not_read_stay_within_the_memory_limit(self) -> None:
+        """Output that callers don't read must not fill the memory of the host."""
+        for kind in ("unread events", "unread large"):
+            with self.subTest(kind):
+                self.check(kind)
+
 
 if __name__ == "__main__":
     unittest.main()
