Count unread output in the memory that a host's requests share

Fix: each connection takes its output from the account before it is queued. At the limit the largest holder goes, which may be a connection: it is closed.

Evidence: test_unread_answers_are_bounded_together failed before (nothing was ever dropped).

--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -13,6 +13,7 @@
 from catkinhook.answertask import ProblemTask, Task
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.requestparser import Parser
+from catkinhook.requests.memorybudget import MemoryLimitError
 from catkinhook.unanswered import (
     CALLER_CLOSED,
     EARLIER_ANSWER,
@@ -85,6 +86,7 @@
         self._idle_since = time.monotonic()
         super().__init__(*args, **options)
         self._answer_lock = threading.Lock()
+        self._output = self.server.memory.open("output", self.close_from_thread)
 
     def readable(self) -> bool:
         """Return whether the event loop reads from the connection."""
@@ -145,13 +147,30 @@
 
         :raises ClientDisconnected: if the event loop has answered the request.
         :raises TimeoutError: if the caller doesn't read until ``output_ends_at``.
+        :raises MemoryLimitError: if the process holds too many bytes, most of them for this caller.
         """
         with self._answer_lock:
             if self.is_answered:
                 raise ClientDisconnected
             self._has_begun_answer = self._has_begun_answer or bool(data)
         self._wait_for_caller()
-        return super().write_soon(data)
+        size = len(data)
+        try:
+            self._output.take(size)
+            return super().write_soon(data)
+        except MemoryLimitError:
+            self.close_from_thread()
+            raise
+        except BaseException:
+            self._output.give_back(size)
+            raise
+
+    def _flush_some(self, do_close: bool = True) -> bool:
+        unsent = self.total_outbufs_len
+        try:
+            return super()._flush_some(do_close=do_close)
+        finally:
+            self._output.give_back(unsent - self.total_outbufs_len)
 
     def _flush_outbufs_below_high_watermark(self) -> None:
         """Do nothing; waitress would wait for as long as the connection lasts."""
@@ -254,6 +273,7 @@
             for request in self.requests[1:] if self.is_answered else list(self.requests):
                 self.report_unanswered(request, LOOP_ERROR if self._has_loop_error else why)
         super().handle_close()
+        self._output.close()
 
     def report_unanswered(self, request: Parser, why: str, reason: str = "") -> None:
         """Report a request that gets no complete answer."""
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -131,6 +131,7 @@
 class WebListener:
     """Service that runs a waitress server in a thread.
 
+    :param memory: account of the bytes that connections hold.
     :param on_unanswered: called for each whole request that gets no complete answer.
     :ivar is_listening: whether connections are accepted.
     """
@@ -141,8 +142,10 @@
         address: str,
         threads: int,
         name: str,
+        memory: MemoryBudget,
         on_unanswered: Callable[[UnansweredRequest], None] | None = None,
     ) -> None:
+        self._memory = memory
         self._application = application
         self._address = address
         self._threads = threads
@@ -173,6 +176,7 @@
             send_bytes=1,
             ident="catkinhook",
         )
+        self.server.memory = self._memory
         self.is_listening = True
         if self._on_unanswered is not None:
             self.server.on_unanswered = self._on_unanswered
@@ -298,7 +302,7 @@
         threads = MAX_REQUESTS + SPARE_THREADS
         self._find_request_id = platform.find_request_id
         self.front = WebListener(
-            front, settings.front_address, threads, "front", self._record_unanswered
+            front, settings.front_address, threads, "front", self.memory, self._record_unanswered
         )
         control = QuarantineControl(scheduler, self.holder_link.push_evidence)
         ready = platform.make_readiness_application(self.state, self._render_metrics, control)
@@ -321,7 +325,7 @@
                     protocol_factory=COMPACT_PROTOCOL,
                 ),
             ),
-            ("ready", WebListener(ready, settings.ready_address, 1, "ready")),
+            ("ready", WebListener(ready, settings.ready_address, 1, "ready", self.memory)),
             ("configuration", self.configuration),
             ("endpoints", self.endpoints),
             ("holder-link", self.holder_link),
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -9,6 +9,7 @@
 from waitress.server import TcpWSGIServer
 
 from catkinhook.channel import AnsweredRequest, Channel
+from catkinhook.requests.memorybudget import MemoryBudget
 from catkinhook.unanswered import UnansweredRequest
 
 # Pause of the event loop after an unexpected error, which may come back at once.
@@ -34,10 +35,12 @@
 
     :ivar on_unanswered: called for each whole request that gets no complete answer, by the thread
         of the event loop or of the request; must not raise.
+    :ivar memory: account of the bytes that connections hold; to be set before the first connection.
     """
 
     channel_class = Channel
     _is_finishing = False
+    memory = MemoryBudget()
     on_unanswered: Callable[[UnansweredRequest], None] = staticmethod(_ignore)
 
     def run(self) -> None:
--- /dev/null
+++ b/tests/test_held_connections.py
@@ -0,0 +1,94 @@
+"""Bytes that the connections of a server hold together: unread answers and unfinished requests."""
+
+import contextlib
+import socket
+import threading
+import time
+import unittest
+from collections.abc import Callable, Iterator
+
+from catkinhook.requests.memorybudget import MemoryBudget
+from catkinhook.taskdispatcher import OnDemandDispatcher
+from catkinhook.units import KIB, MIB
+from catkinhook.wsgiserver import Server
+from tests.hostcase import WAIT_S, wait_until
+
+CALLERS = 40
+LIMIT_BYTES = 2 * MIB
+PART = b"x" * (48 * KIB)
+ANSWER_PARTS = 400
+
+
+class HeldConnectionsTest(unittest.TestCase):
+    """Server whose application answers ``/large`` with many parts, and others with the body."""
+
+    def setUp(self) -> None:
+        self.evicted: list[tuple[str, int]] = []
+        self.served: list[int] = []
+        self.memory = MemoryBudget(LIMIT_BYTES, lambda *eviction: self.evicted.append(eviction))
+        self.server = Server(
+            self.answer,
+            map={},
+            host="127.0.0.1",
+            port=0,
+            dispatcher=OnDemandDispatcher(CALLERS + 4),
+            asyncore_use_poll=True,
+            outbuf_high_watermark=64 * KIB,
+            max_request_body_size=8 * MIB,
+            inbuf_overflow=16 * MIB,
+        )
+        self.server.memory = self.memory
+        thread = threading.Thread(target=self.server.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, WAIT_S)
+        self.addCleanup(self.server.shut_down)
+
+    def answer(self, environ: dict, start_response: Callable) -> Iterator[bytes]:
+        """Answer a request."""
+        body = environ["wsgi.input"].read()
+        self.served.append(len(body))
+        parts = [PART] * ANSWER_PARTS if environ["PATH_INFO"] == "/large" else [b"%d" % len(body)]
+        start_response("200 OK", [("Content-Length", str(sum(map(len, parts))))])
+        return iter(parts)
+
+    def connect(self) -> socket.socket:
+        """Open a connection with a small receive buffer."""
+        connection = socket.socket()
+        self.addCleanup(connection.close)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * KIB)
+        connection.settimeout(WAIT_S)
+        connection.connect(("127.0.0.1", int(self.server.effective_port)))
+        return connection
+
+    def read_answer(self, connection: socket.socket) -> tuple[int, bytes]:
+        """Return the status and the body of an answer that ends with its connection."""
+        data = b""
+        # The rest of a refused body resets the connection.
+        with contextlib.suppress(ConnectionResetError):
+            while part := connection.recv(MIB):
+                data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        return int(head[9:12] or 0), body
+
+    def send(self, path: str, body: bytes = b"", length: int = 0) -> socket.socket:
+        """Send a request, or its beginning if ``length`` exceeds that of its body."""
+        connection = self.connect()
+        head = f"POST {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        head += f"Content-Length: {max(length, len(body))}\r\n\r\n"
+        connection.sendall(head.encode() + body)
+        return connection
+
+    def test_unread_answers_are_bounded_together(self) -> None:
+        """Callers that don't read must not fill the memory, though each of them holds little."""
+        connections = [self.send("/large") for _ in range(CALLERS)]
+        wait_until(lambda: self.evicted)
+        time.sleep(0.2)
+        unsent = [channel.total_outbufs_len for channel in self.server.active_channels.values()]
+        self.assertLessEqual(sum(unsent), LIMIT_BYTES)
+        self.assertLessEqual(self.memory.held, LIMIT_BYTES)
+        self.assertEqual({kind for kind, _ in self.evicted}, {"output"})
+        self.assertEqual(self.read_answer(self.send("/small", b"abc")), (200, b"3"))
+        self.assertEqual(self.read_answer(self.send("/large")), (200, PART * ANSWER_PARTS))
+        for connection in connections:
+            connection.close()
+        wait_until(lambda: self.memory.held == 0)
