Bound the bytes of requests that a host holds together

Large requests of some callers could end the process of a host, and with it the requests of others: 8 MiB for each of 224 requests in progress and of 1500 connections, copied when the body was read, hashed and sent.

Fix: heads and bodies are in the account of held bytes as they arrive. One that is not whole may be dropped at the limit; the rest of it is read and discarded, and then it gets 503, which is true: it was not passed on. A whole one can't be dropped any more, so these may use half of the limit; the next gets 503. Bodies are no longer copied.

--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 import attrs
+from waitress.adjustments import Adjustments
 from waitress.channel import ClientDisconnected, HTTPChannel
 
 from catkinhook.answertask import ProblemTask, Task
@@ -63,7 +64,6 @@
 
     task_class = Task
     error_task_class = ProblemTask
-    parser_class = Parser
 
     # Whether the answer that ``reset_until_whole`` protects was written to its end.
     has_whole_answer = True
@@ -88,6 +88,10 @@
         self._answer_lock = threading.Lock()
         self._output = self.server.memory.open("output", self.close_from_thread)
 
+    def parser_class(self, adj: Adjustments) -> Parser:
+        """Return a parser for the next request."""
+        return Parser(adj, self.server.memory, self._refuse_from_thread)
+
     def readable(self) -> bool:
         """Return whether the event loop reads from the connection."""
         return not self._is_finishing and super().readable()
@@ -203,6 +207,11 @@
         self.will_close = True
         self.server.trigger.pull_trigger(self.handle_close)
 
+    def _refuse_from_thread(self, request: Parser) -> None:
+        """Refuse a request that is not whole; called by any thread."""
+        reason = "the process holds too many bytes, most of them this request"
+        self.server.trigger.pull_trigger(lambda: request.refuse(reason))
+
     def answer_unfinished(self) -> AnsweredRequest | None:
         """Answer the first request unless its thread has begun to, and close the connection.
 
@@ -274,6 +283,8 @@
                 self.report_unanswered(request, LOOP_ERROR if self._has_loop_error else why)
         super().handle_close()
         self._output.close()
+        if self.request is not None:
+            self.request.close()
 
     def report_unanswered(self, request: Parser, why: str, reason: str = "") -> None:
         """Report a request that gets no complete answer."""
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -5,6 +5,8 @@
 import sys
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
+from io import BytesIO
+from typing import BinaryIO
 from urllib.parse import parse_qs
 
 import attrs
@@ -146,8 +148,9 @@
         deadline = _parse_deadline_s(get(protocolnames.DEADLINE_MS.lower(), ""))
         service = route.choose_service(self._rng)
         parts = _parse_part_ids(get(protocolnames.PROMPT_PARTS.lower(), ""))
-        identity = "\n".join((inbound.method, inbound.target, item))
-        hashed = identity.encode("latin-1", "replace") + b"\n" + inbound.body
+        identity = "\n".join((inbound.method, inbound.target, item, ""))
+        fingerprint = xxhash.xxh64(identity.encode("latin-1", "replace"))
+        fingerprint.update(inbound.body)
         return RoutedRequest(
             request_id=request_id,
             service=service,
@@ -160,7 +163,7 @@
             output_tokens=output_tokens if item else 0,
             prefixes=_hash_prefixes(item, parts),
             shared_parts=parts[:-1],
-            fingerprint=xxhash.xxh64_hexdigest(hashed),
+            fingerprint=fingerprint.hexdigest(),
         )
 
     def _start_answer(self, reply: Reply, start_response: Callable) -> None:
@@ -258,12 +261,17 @@
         path=target.partition("?")[0],
         headers=lines,
         value_by_name={name.lower(): value for name, value in lines},
-        body=environ["wsgi.input"].read(),
+        body=_take_body(environ["wsgi.input"]),
         # The request may have waited for a thread since.
         arrived=parsed.completed_at,
     )
 
 
+def _take_body(stream: BinaryIO) -> bytes:
+    """Return a whole body; that of a buffer in memory is not copied."""
+    return stream.getvalue() if isinstance(stream, BytesIO) else stream.read()
+
+
 def _select_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
     """Return the headers to forward, without hop-by-hop and reserved ones."""
     connection_options = {
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -36,6 +36,8 @@
 LAST_CHUNK_TIMEOUT_S = 0.02
 MAX_REPORT_BYTES = 4 * MIB
 READ_BYTES = 64 << 10
+# Larger bodies are not copied to be sent in one write with their head.
+MAX_JOINED_BODY_BYTES = 64 * KIB
 # Response heads of endpoints take a few hundred bytes.
 MAX_HEAD_BYTES = 64 * KIB
 
@@ -179,7 +181,11 @@
                 self.putheader(name, value)
             self.endheaders()
             buffered, self._buffered = b"".join(self._buffered), None
-            self.send(buffered + body)
+            if len(body) > MAX_JOINED_BODY_BYTES:
+                self.send(buffered)
+                self.send(body)
+            else:
+                self.send(buffered + body)
         finally:
             self._buffered = None
 
--- a/tests/test_held_connections.py
+++ b/tests/test_held_connections.py
@@ -1,6 +1,6 @@
 """Bytes that the connections of a server hold together: unread answers and unfinished requests."""
 
-import contextlib
+import json
 import socket
 import threading
 import time
@@ -63,10 +63,8 @@
     def read_answer(self, connection: socket.socket) -> tuple[int, bytes]:
         """Return the status and the body of an answer that ends with its connection."""
         data = b""
-        # The rest of a refused body resets the connection.
-        with contextlib.suppress(ConnectionResetError):
-            while part := connection.recv(MIB):
-                data += part
+        while part := connection.recv(MIB):
+            data += part
         head, _, body = data.partition(b"\r\n\r\n")
         return int(head[9:12] or 0), body
 
@@ -92,3 +90,52 @@
         for connection in connections:
             connection.close()
         wait_until(lambda: self.memory.held == 0)
+
+    def test_bodies_of_unfinished_requests_are_bounded_together(self) -> None:
+        """Callers that send bodies slowly must not fill the memory, nor stop sound requests."""
+        connections = [
+            self.send("/small", b"x" * (MIB // 4), length=MIB + number) for number in range(CALLERS)
+        ]
+        wait_until(lambda: len(self.evicted) >= CALLERS - LIMIT_BYTES // (MIB // 4))
+        self.assertLessEqual(self.memory.held, LIMIT_BYTES)
+        self.assertEqual({kind for kind, _ in self.evicted}, {"request"})
+        # The largest were refused; a smaller one goes on.
+        self.assertEqual(self.read_answer(self.send("/small", b"abc")), (200, b"3"))
+        self.assertEqual(self.served, [3])
+        for connection in connections:
+            connection.close()
+        wait_until(lambda: self.memory.held == 0)
+
+    def test_refused_body_gets_503_and_is_never_run(self) -> None:
+        """A request that is refused at the memory limit must not run, nor any part of its body."""
+        smuggled = b"POST /smuggled HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+        body = smuggled * (LIMIT_BYTES // len(smuggled) + 1000)
+        head = b"POST /small HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body)
+        connection = self.connect()
+        connection.sendall(head + body)
+        status, problem = self.read_answer(connection)
+        self.assertEqual(status, 503, problem)
+        self.assertEqual(json.loads(problem)["ran"], "no")
+        self.assertEqual(self.served, [])
+        wait_until(lambda: self.memory.held == 0)
+
+    def test_bodies_of_requests_in_progress_leave_room_for_their_answers(self) -> None:
+        """Whole bodies can't be dropped, so they must not use up the memory: the next gets 503."""
+        is_over = threading.Event()
+        self.addCleanup(is_over.set)
+        answer = self.server.application
+
+        def answer_late(environ: dict, start_response: Callable) -> Iterator[bytes]:
+            is_over.wait(WAIT_S)
+            return answer(environ, start_response)
+
+        self.server.application = answer_late
+        connections = [self.send("/small", b"x" * (MIB // 4)) for _ in range(8)]
+        wait_until(lambda: len(self.server.task_dispatcher.threads) >= 3)
+        time.sleep(0.5)
+        self.assertLessEqual(self.memory.held, LIMIT_BYTES // 2)
+        is_over.set()
+        statuses = sorted(self.read_answer(connection)[0] for connection in connections)
+        self.assertEqual(statuses, [200] * 3 + [503] * 5)
+        self.assertEqual(self.served, [MIB // 4] * 3)
+        wait_until(lambda: self.memory.held == 0)
