--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 import attrs
+from waitress.adjustments import Adjustments
 from waitress.channel import ClientDisconnected, HTTPChannel
 
 from catkinhook.answertask import ProblemTask, Task
@@ -20,6 +21,7 @@
 )
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.requestparser import Parser
+from catkinhook.requests.memorybudget import MemoryLimitError
 from catkinhook.unanswered import (
     CALLER_CLOSED,
     EARLIER_ANSWER,
@@ -70,7 +72,6 @@
 
     task_class = Task
     error_task_class = ProblemTask
-    parser_class = Parser
 
     # Whether the answer that ``reset_until_whole`` protects was written to its end.
     has_whole_answer = True
@@ -80,6 +81,9 @@
     is_answered = False
     # Whether no further request is read, because the process ends.
     _is_finishing = False
+    # Time on the monotonic clock after which the thread of a request waits no longer for a caller
+    # that doesn't read.
+    output_ends_at = float("inf")
     # The request that a thread serves, and whether that thread has begun its answer.
     _running: Parser | None = None
     _has_begun_answer = False
@@ -93,6 +97,11 @@
         self._idle_since = time.monotonic()
         super().__init__(*args, **options)
         self._answer_lock = threading.Lock()
+        self._output = self.server.memory.open("output", self.close_from_thread)
+
+    def parser_class(self, adj: Adjustments) -> Parser:
+        """Return a parser for the next request."""
+        return Parser(adj, self.server.memory, self._refuse_from_thread)
 
     def readable(self) -> bool:
         """Return whether the event loop reads from the connection."""
@@ -131,6 +140,7 @@
             request = self._running = self.requests[0]
             self._has_begun_answer = False
             self._answered = None
+            self.output_ends_at = float("inf")
         requests = self.requests
         dropped: list[Parser] = []
         try:
@@ -149,15 +159,70 @@
             self.server.pull_trigger()
 
     def write_soon(self, data: bytes) -> int:
-        """Queue output of the thread that serves a request.
+        """Queue output of the thread that serves a request; wait if too much is unsent.
 
         :raises ClientDisconnected: if the event loop has answered the request.
+        :raises TimeoutError: if the caller doesn't read until ``output_ends_at``.
+        :raises MemoryLimitError: if the process holds too many bytes, most of them for this caller.
         """
         with self._answer_lock:
             if self.is_answered:
                 raise ClientDisconnected
             self._has_begun_answer = self._has_begun_answer or bool(data)
-        return super().write_soon(data)
+        self._wait_for_caller()
+        size = len(data)
+        try:
+            self._output.take(size)
+            return super().write_soon(data)
+        except MemoryLimitError:
+            self.close_from_thread()
+            raise
+        except BaseException:
+            self._output.give_back(size)
+            raise
+
+    def _flush_some(self, do_close: bool = True) -> bool:
+        unsent = self.total_outbufs_len
+        try:
+            return super()._flush_some(do_close=do_close)
+        finally:
+            self._output.give_back(unsent - self.total_outbufs_len)
+
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        """Do nothing; waitress would wait for as long as the connection lasts."""
+
+    def _wait_for_caller(self) -> None:
+        """Wait until the caller has read enough of the output, or left.
+
+        :raises TimeoutError: at ``output_ends_at``; the connection is then closed.
+        """
+        with self.outbuf_lock:
+            if self.total_outbufs_len > self.adj.outbuf_high_watermark:
+                self._flush_exception(self._flush_some, do_close=False)
+            while self.connected and self.total_outbufs_len > self.adj.outbuf_high_watermark:
+                seconds = self.output_ends_at - time.monotonic()
+                if seconds <= 0:
+                    break
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(min(seconds, threading.TIMEOUT_MAX))
+            else:
+                return
+        self.close_from_thread()
+        raise TimeoutError("the caller did not read its answer in time")
+
+    def close_from_thread(self) -> None:
+        """Close the connection; called by any thread.
+
+        The event loop would otherwise close it only when it can be written to, which a connection
+        whose caller reads nothing never can.
+        """
+        self.will_close = True
+        self.server.trigger.pull_trigger(self.handle_close)
+
+    def _refuse_from_thread(self, request: Parser) -> None:
+        """Refuse a request that is not whole; called by any thread."""
+        reason = "the process holds too many bytes, most of them this request"
+        self.server.trigger.pull_trigger(lambda: request.refuse(reason))
 
     def answer_unfinished(self) -> AnsweredRequest | None:
         """Answer the first request unless its thread has begun to, and close the connection.
@@ -233,6 +298,9 @@
         if self.connected and self.total_outbufs_len and is_answered:
             self.report_unanswered(self._answered, UNSENT_ANSWER)
         super().handle_close()
+        self._output.close()
+        if self.request is not None:
+            self.request.close()
 
     def mark_answered(self, request: Parser) -> None:
         """Note that the answer to a request is complete."""
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -15,6 +15,7 @@
 
 from catkinhook import __version__
 from catkinhook.addresses import split_address
+from catkinhook.allocator import limit_kept_memory
 from catkinhook.callerresets import IDLE, CallerReset
 from catkinhook.control.ordercoordinator import OrderCoordinator
 from catkinhook.control.orderlease import OrderLease
@@ -46,6 +47,7 @@
 )
 from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.memorybudget import MemoryBudget, derive_limit
 from catkinhook.requests.partquarantine import Quarantine
 from catkinhook.requests.quarantinecontrol import QuarantineControl
 from catkinhook.requests.routetable import RouteTable
@@ -68,6 +70,9 @@
 CONNECTION_LIMIT = 1500
 MAX_HEADER_BYTES = 64 * KIB
 MAX_BODY_BYTES = 8 * MIB
+# Output of one caller that is not sent yet, beyond which the thread of its request waits. The
+# endpoint then has to wait, too.
+MAX_UNSENT_BYTES = 64 * KIB
 # Much longer than callers' own idle timeouts, so that callers close idle connections first.
 CHANNEL_TIMEOUT_S = 120
 CALLER_CHECK_INTERVAL_S = 0.1
@@ -136,6 +141,7 @@
 class WebListener:
     """Service that runs a waitress server in a thread.
 
+    :param memory: account of the bytes that connections hold.
     :param on_unanswered: called for each whole request that gets no complete answer.
     :param on_reset: called for each connection that its caller reset without such a request.
     :ivar is_listening: whether connections are accepted.
@@ -147,9 +153,11 @@
         address: str,
         threads: int,
         name: str,
+        memory: MemoryBudget,
         on_unanswered: Callable[[UnansweredRequest], None] | None = None,
         on_reset: Callable[[CallerReset], None] | None = None,
     ) -> None:
+        self._memory = memory
         self._application = application
         self._address = address
         self._threads = threads
@@ -173,6 +181,7 @@
             max_request_body_size=MAX_BODY_BYTES,
             inbuf_overflow=MAX_BODY_BYTES + MIB,
             outbuf_overflow=MAX_BODY_BYTES + MIB,
+            outbuf_high_watermark=MAX_UNSENT_BYTES,
             channel_request_lookahead=1,
             channel_timeout=CHANNEL_TIMEOUT_S,
             asyncore_use_poll=True,
@@ -180,6 +189,7 @@
             send_bytes=1,
             ident="catkinhook",
         )
+        self.server.memory = self._memory
         self.is_listening = True
         if self._on_unanswered is not None:
             self.server.on_unanswered = self._on_unanswered
@@ -295,6 +305,7 @@
             lambda: (self.configuration.version, self.configuration.text),
             lambda: self.endpoints.entries,
         )
+        self.memory = MemoryBudget(derive_limit(settings.memory_mb), self._record_eviction)
         self._forwarder = forwarder = Forwarder(
             scheduler,
             disconnect_monitor,
@@ -302,6 +313,7 @@
             self.log,
             self.holder_link.request_exchange,
             self.holder_link.push_evidence,
+            self.memory,
         )
         front = platform.make_front_application(
             lambda: self.configuration.table, forwarder, connections, availability, self.state
@@ -313,6 +325,7 @@
             settings.front_address,
             threads,
             "front",
+            self.memory,
             self._record_unanswered,
             self._record_reset,
         )
@@ -338,7 +351,7 @@
                     protocol_factory=COMPACT_PROTOCOL,
                 ),
             ),
-            ("ready", WebListener(ready, settings.ready_address, 1, "ready")),
+            ("ready", WebListener(ready, settings.ready_address, 1, "ready", self.memory)),
             ("configuration", self.configuration),
             ("endpoints", self.endpoints),
             ("holder-link", self.holder_link),
@@ -402,8 +415,15 @@
 
     def _render_metrics(self) -> bytes:
         self.metrics.in_progress.set(self.state.in_progress)
+        self.metrics.held_bytes.set(self.memory.held)
         return self.metrics.render()
 
+    def _record_eviction(self, kind: str, size: int) -> None:
+        self.metrics.evictions.labels(kind).inc()
+        self.log.record(
+            "memory", outcome=f"evicted: {kind}", bytes=size, limit_bytes=self.memory.limit
+        )
+
     def _record_unanswered(self, unanswered: UnansweredRequest) -> None:
         self.metrics.unanswered.labels(unanswered.why).inc()
         # Callers often leave, and then the line of the request says so, unless none was begun.
@@ -497,6 +517,7 @@
     :param reload_settings: reads the settings again, after SIGHUP.
     """
     threading.stack_size(THREAD_STACK_BYTES)
+    is_memory_limited = limit_kept_memory()
     host = Host(settings, platform)
     next_signal = receive_signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     host.kernel.start()
@@ -507,6 +528,7 @@
         pid=os.getpid(),
         incarnation=host.incarnation,
         version=__version__,
+        limits_kept_memory=is_memory_limited,
     )
     while next_signal() == signal.SIGHUP:
         try:
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -5,12 +5,14 @@
 import sys
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
+from io import BytesIO
+from typing import BinaryIO
 from urllib.parse import parse_qs
 
 import attrs
 import xxhash
 
-from catkinhook.answertask import PARSED_REQUEST
+from catkinhook.answertask import END_OUTPUT_AT, PARSED_REQUEST
 from catkinhook.errors import PROBLEM_CONTENT_TYPE, Ran, Refusal, render_problem
 from catkinhook.hoststate import HostState
 from catkinhook.platform import protocolnames
@@ -27,6 +29,8 @@
 STEP = "front"
 # Default deadline of requests, and upper limit on the deadlines that callers send.
 MAX_DEADLINE_S = 120.0
+# Time after the deadline of a request in which its caller may still read the rest of the answer.
+OUTPUT_GRACE_S = 1.0
 # Larger token counts of a request are not believed.
 MAX_TOKENS = 10**9 - 1
 
@@ -121,6 +125,9 @@
         request = self._route_request(inbound, route, request_id, table.version)
         if not self._state.may_accept(request.deadline):
             raise _make_busy_refusal("the host is stopping")
+        end_output_at = environ.get(END_OUTPUT_AT)
+        if end_output_at is not None:
+            end_output_at(request.deadline + OUTPUT_GRACE_S)
         upstream = RequestUpstream(
             self._connections,
             self._activity,
@@ -146,8 +153,9 @@
         deadline = _parse_deadline_s(get(protocolnames.DEADLINE_MS.lower(), ""))
         service = route.choose_service(self._rng)
         parts = _parse_part_ids(get(protocolnames.PROMPT_PARTS.lower(), ""))
-        identity = "\n".join((inbound.method, inbound.target, item))
-        hashed = identity.encode("latin-1", "replace") + b"\n" + inbound.body
+        identity = "\n".join((inbound.method, inbound.target, item, ""))
+        fingerprint = xxhash.xxh64(identity.encode("latin-1", "replace"))
+        fingerprint.update(inbound.body)
         return RoutedRequest(
             request_id=request_id,
             service=service,
@@ -160,7 +168,7 @@
             output_tokens=output_tokens if item else 0,
             prefixes=_hash_prefixes(item, parts),
             shared_parts=parts[:-1],
-            fingerprint=xxhash.xxh64_hexdigest(hashed),
+            fingerprint=fingerprint.hexdigest(),
         )
 
     def _start_answer(self, reply: Reply, start_response: Callable) -> None:
@@ -258,12 +266,17 @@
         path=target.partition("?")[0],
         headers=lines,
         value_by_name={name.lower(): value for name, value in lines},
-        body=environ["wsgi.input"].read(),
+        body=_take_body(environ["wsgi.input"]),
         # The request may have waited for a thread since.
         arrived=parsed.completed_at,
     )
 
 
+def _take_body(stream: BinaryIO) -> bytes:
+    """Return a whole body; that of a buffer in memory is not copied."""
+    return stream.getvalue() if isinstance(stream, BytesIO) else stream.read()
+
+
 def _select_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
     """Return the headers to forward, without hop-by-hop and reserved ones."""
     connection_options = {
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -10,6 +10,7 @@
 
 from catkinhook.callerresets import CallerReset
 from catkinhook.channel import AnsweredRequest, Channel
+from catkinhook.requests.memorybudget import MemoryBudget
 from catkinhook.unanswered import UnansweredRequest
 
 # Pause of the event loop after an unexpected error, which may come back at once.
@@ -37,10 +38,12 @@
         of the event loop or of the request; must not raise.
     :ivar on_reset: called by the thread of the event loop for each connection that its caller reset
         while no request was in progress; must not raise.
+    :ivar memory: account of the bytes that connections hold; to be set before the first connection.
     """
 
     channel_class = Channel
     _is_finishing = False
+    memory = MemoryBudget()
     on_unanswered: Callable[[UnansweredRequest], None] = staticmethod(_ignore)
     on_reset: Callable[[CallerReset], None] = staticmethod(_ignore)
 
