Count resets that arrive before the answer is marked as complete

What callers saw: nothing; but a caller that reset its connection while the thread of its request was between the last byte of the answer and its mark, left neither a count nor a line, so the accounting of resets had a hole.

Cause: the event loop looked only at the requests still in progress, and closes a connection with a request in progress without reading from it (POLLERR), so recv saw no reset.

--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -5,6 +5,7 @@
 import struct
 import threading
 import time
+from errno import ECONNRESET
 from http import HTTPStatus
 
 import attrs
@@ -90,6 +91,8 @@
     # The request that was answered last, and the time at which its answer was complete.
     _answered: Parser | None = None
     _answered_at = 0.0
+    # Whether the caller reset the connection before its answer was marked as complete.
+    _was_reset_in_progress = False
 
     def __init__(self, *args: object, **options: object) -> None:
         self._has_loop_error = False
@@ -286,6 +289,12 @@
 
     def handle_close(self) -> None:
         """Close the connection, and report its requests if no thread serves them."""
+        if (
+            self.connected
+            and self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == ECONNRESET
+        ):
+            # While a request is in progress, the event loop closes without reading.
+            self._report_reset()
         if self._resets and self.has_whole_answer and not self.total_outbufs_len:
             self._set_linger(_LINGER_OFF)
         if self.connected and self._running is None:
@@ -304,7 +313,11 @@
 
     def mark_answered(self, request: Parser) -> None:
         """Note that the answer to a request is complete."""
-        self._answered, self._answered_at = request, time.monotonic()
+        with self._answer_lock:
+            self._answered, self._answered_at = request, time.monotonic()
+            was_reset = self._was_reset_in_progress
+        if was_reset:
+            self._report_reset_state(RECENT_ANSWER)
 
     def recv(self, buffer_size: int) -> bytes:
         """Read from the connection, and close it if the caller has ended it."""
@@ -319,16 +332,26 @@
 
     def _report_reset(self) -> None:
         """Report a reset, unless a request in progress or an unsent answer is reported for it."""
-        # The thread may still hold a request whose answer is complete.
-        is_in_progress = any(request is not self._answered for request in self.requests)
+        with self._answer_lock:
+            # The thread may still hold a request whose answer is complete.
+            is_in_progress = any(request is not self._answered for request in self.requests)
+            # Its answer may have been sent without being marked as complete yet.
+            self._was_reset_in_progress = is_in_progress
         if is_in_progress or self.total_outbufs_len:
             return
         answered_s_ago = time.monotonic() - self._answered_at
         is_recent = self._answered is not None and answered_s_ago < RECENT_ANSWER_S
         state = PARTIAL_REQUEST if self.request else RECENT_ANSWER if is_recent else IDLE
+        self._report_reset_state(state)
+
+    def _report_reset_state(self, state: str) -> None:
         lines = () if self._answered is None else self._answered.header_lines
         self.server.on_reset(
-            CallerReset(state=state, header_lines=lines, answered_s_ago=answered_s_ago)
+            CallerReset(
+                state=state,
+                header_lines=lines,
+                answered_s_ago=time.monotonic() - self._answered_at,
+            )
         )
 
     def report_unanswered(
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -36,8 +36,8 @@
 
     :ivar on_unanswered: called for each whole request that gets no complete answer, by the thread
         of the event loop or of the request; must not raise.
-    :ivar on_reset: called by the thread of the event loop for each connection that its caller reset
-        while no request was in progress; must not raise.
+    :ivar on_reset: called by the thread of the event loop or of a request for each connection that
+        its caller reset while no request was in progress; must not raise.
     :ivar memory: account of the bytes that connections hold; to be set before the first connection.
     """
 
--- a/tests/test_caller_resets.py
+++ b/tests/test_caller_resets.py
@@ -6,6 +6,8 @@
 from unittest import mock
 
 from catkinhook.callerresets import IDLE, PARTIAL_REQUEST, RECENT_ANSWER
+from catkinhook.channel import Channel
+from catkinhook.requestparser import Parser
 from catkinhook.unanswered import CALLER_CLOSED, UNSENT_ANSWER
 from catkinhook.units import MIB
 from tests.connectioncase import HEADERS, Caller, ConnectionCase
@@ -66,11 +68,14 @@
             engine.scripted_answers.append(
                 ScriptedAnswer(body=body, framing="length", content_type="text/plain")
             )
-        caller = self.connect()
-        caller.send(STREAM)
-        wait_until(lambda: ("request", "answered") in self.lines)
-        # The thread passes the answer on after its line.
-        wait_until(lambda: self.host.state.in_progress == 0)
+        # Otherwise the thread waits for its caller while more than 64 KiB are unsent.
+        adjustments = self.host.front.server.adj
+        with mock.patch.object(adjustments, "outbuf_high_watermark", len(body)):
+            caller = self.connect()
+            caller.send(STREAM)
+            wait_until(lambda: ("request", "answered") in self.lines)
+            # The thread passes the answer on after its line.
+            wait_until(lambda: self.host.state.in_progress == 0)
         reset(caller)
         wait_until(lambda: self.count_unanswered(UNSENT_ANSWER) == 1)
         self.assertIn(("unanswered", UNSENT_ANSWER), self.lines)
@@ -83,6 +88,21 @@
         wait_until(lambda: self.count_resets(RECENT_ANSWER) == 1)
         self.assertIn(("caller-reset", RECENT_ANSWER), self.lines)
 
+    def test_reset_before_an_answer_is_marked_complete_is_counted(self) -> None:
+        """An answer must leave a line if its reset is seen before its thread has ended it."""
+        mark_answered = Channel.mark_answered
+
+        def mark_after_reset(channel: Channel, request: Parser) -> None:
+            wait_until(lambda: not channel.connected)
+            mark_answered(channel, request)
+
+        with mock.patch.object(Channel, "mark_answered", mark_after_reset):
+            caller = self.connect()
+            self.answer(caller)
+            reset(caller)
+            wait_until(lambda: self.count_resets(RECENT_ANSWER) == 1)
+        self.assertIn(("caller-reset", RECENT_ANSWER), self.lines)
+
     def test_reset_in_a_request_is_counted(self) -> None:
         """A request that arrived in part must leave a line, as its caller may have sent all."""
         caller = self.connect()
