Take no endpoint for down when the host lacks descriptors

What callers saw: 503 for up to 0.8 s after a moment in which the host had no descriptor for a new connection to an endpoint, from hosts that had some again.

Cause: an attempt that could not open a socket was reported as one whose endpoint can't be reached, and was repeated with every other endpoint, which were then all left out.

Evidence: test_lack_of_descriptors_takes_no_endpoint_for_down failed before: the next request, with a deadline of 0.5 s, got 503.

Why the fix works: an error of the host itself ends the request with 503, which was not sent, and says nothing about the endpoint.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -48,6 +48,9 @@
 # Longest text of foreign request ids in a log line.
 MAX_LOGGED_ID_LENGTH = 64
 
+# Errors of this host, which say nothing about an endpoint.
+_LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
 _MISDIRECTED = 421
 # Statuses that promise to callers that the request did not run, beside 421. An endpoint states this
 # only with the header ``protocolnames.NOT_RUN``.
@@ -212,7 +215,12 @@
         try:
             connection = self._connections.acquire(self._endpoint.address, limits, fresh)
         except CONNECTION_ERRORS as error:
-            is_refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            cause = error.__cause__ or error
+            if getattr(cause, "errno", None) in _LOCAL_ERRORS:
+                # Other endpoints can't be asked either.
+                reason = f"was not asked: {error}"
+                raise self._error(reason, Ran.NO, Outcome.CANCELLED) from error
+            is_refused = isinstance(cause, ConnectionRefusedError)
             outcome = Outcome.CRASHED if is_refused else Outcome.NOT_RUN
             reason = f"can't be reached: {error}"
             raise self._error(reason, Ran.NO, outcome, fault="down") from error
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -1,5 +1,6 @@
 """A host process at its limits, or with signals and changes together, loses no request."""
 
+import errno
 import fcntl
 import os
 import resource
@@ -8,8 +9,10 @@
 import sys
 import time
 import unittest
+from unittest import mock
 
-from tests.connectioncase import HEADERS, Caller
+from catkinhook.requests.attempts import CountingConnection
+from tests.connectioncase import HEADERS, Caller, ConnectionCase
 from tests.hostcase import wait_until
 from tests.hostprocess import GAP_S, GRACE_S, STOP_S, HostProcessCase
 from tests.platform_fakes import make_configuration
@@ -71,6 +74,21 @@
         self.assertEqual(self.process.wait(STOP_S), 0)
 
 
+class NoDescriptorForEndpointsTest(ConnectionCase):
+    """A host that has no descriptor left for connections to endpoints."""
+
+    def test_lack_of_descriptors_takes_no_endpoint_for_down(self) -> None:
+        """Once there are descriptors again, requests must not be refused for their lack."""
+        error = OSError(errno.EMFILE, "Too many open files")
+        with mock.patch.object(CountingConnection, "_new_conn", side_effect=error):
+            self.assertEqual(self.exchange(LOOKUP)[0], 503)
+        # Shorter than the time for which an endpoint that is down gets no requests.
+        urgent = LOOKUP.replace("Deadline-Ms: 3000", "Deadline-Ms: 500")
+        self.assertEqual(self.exchange(urgent)[0], 200)
+        self.assertEqual(len(self.received_requests(self.plain_endpoints)), 1)
+        self.check_nothing_is_held()
+
+
 class NoDescriptorsTest(HostProcessCase):
     """A host whose callers use up its descriptors."""
 
