--- a/tests/test_shared_threads.py
+++ b/tests/test_shared_threads.py
@@ -15,7 +15,7 @@
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
 from tests import test_hostscheduler, test_peers
-from tests.hostcase import WAIT_S
+from tests.hostcase import WAIT_S, HostCase
 
 CHECK_INTERVAL_S = 0.01
 # More than a pipe holds.
@@ -137,6 +137,35 @@
         self.assertEqual(server._pending_handshakes, 0)
 
 
+class ServiceLoopTest(HostCase):
+    """Threads of a host that follow the store and other hosts."""
+
+    def test_loops_go_on_after_an_error(self) -> None:
+        """An error must not end the thread that alone follows the store, a lease or a holder."""
+        for service, name in (
+            (self.host.configuration, "_poll"),
+            (self.host.endpoints, "_poll"),
+            (self.host.holder_link, "_exchange"),
+            (self.host.lease, "step"),
+        ):
+            self.check_loop(service, name)
+        self.assertEqual(self.send_request("GET", "/look/x")[0].status, 200)
+
+    def check_loop(self, service: object, name: str) -> None:
+        """Let one step of a service fail, and wait for the next one."""
+        step, calls, has_gone_on = getattr(service, name), [], threading.Event()
+
+        def fail_once() -> object:
+            calls.append(name)
+            if len(calls) == 1:
+                raise MemoryError
+            has_gone_on.set()
+            return step()
+
+        with mock.patch.object(service, name, fail_once):
+            self.assertTrue(has_gone_on.wait(WAIT_S), f"{type(service).__name__}.{name}")
+
+
 class UnreadLogTest(unittest.TestCase):
     """Log lines that nobody reads."""
 
