--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -52,7 +52,7 @@
 MAX_LOGGED_ID_LENGTH = 64
 
 _MISDIRECTED = 421
-_UNAVAILABLE = 503
+_SERVICE_UNAVAILABLE = 503
 # Statuses that promise to callers that the request did not run, beside 421. An endpoint states this
 # only with the header ``protocolnames.NOT_RUN``.
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
@@ -321,7 +321,7 @@
         now = time.monotonic()
         if "1" in {value.strip() for value in headers.get_all(protocolnames.LEAVING, ())}:
             self._availability.record_leaving(endpoint, OWN_SOURCE, now, now)
-        if self.status == _UNAVAILABLE:
+        if self.status == _SERVICE_UNAVAILABLE:
             values = headers.get_all(protocolnames.RETRY_AFTER, ())
             # Seconds only: a date would compare the clocks of two machines.
             pauses_s = [parse_decimal(value.strip()) for value in values]
--- a/catkinhook/requests/endpointavailability.py
+++ b/catkinhook/requests/endpointavailability.py
@@ -1,7 +1,7 @@
 """What endpoints said in their answers about the requests that follow."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -141,10 +141,10 @@
 
     def find_pause_end(self, view: EndpointView) -> float | None:
         """Return when the pause of an endpoint ends, None if it has none or leaves."""
+        if self.is_leaving(view.endpoint, view.boot_id):
+            return None
         pause = self._pause_by_boot.get((view.endpoint, view.boot_id))
-        return (
-            None if pause is None or self.is_leaving(view.endpoint, view.boot_id) else pause.ends_at
-        )
+        return None if pause is None else pause.ends_at
 
     def is_leaving(self, endpoint: str, boot_id: str) -> bool:
         """Return whether an endpoint said that it leaves."""
@@ -156,10 +156,10 @@
         pause = self._pause_by_boot.get(key)
         return key not in self._leaving_by_boot and (pause is None or pause.ends_at <= now)
 
-    def leaving(self) -> list[LeavingEndpoint]:
-        """Return all endpoints that said that they leave, also those that are gone."""
-        with self._lock:
-            return list(self._leaving_by_boot.values())
+    def select_leaving(self, views: Iterable[EndpointView]) -> list[LeavingEndpoint]:
+        """Return those of some endpoints that said that they leave."""
+        found = (self._leaving_by_boot.get((view.endpoint, view.boot_id)) for view in views)
+        return [leaving for leaving in found if leaving is not None]
 
 
 def _make_pause_change(pause: _Pause, state: str, now: float) -> AvailabilityChange:
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -460,13 +460,7 @@
 
     def leaving_endpoints(self) -> list[LeavingEndpoint]:
         """Return the known endpoints that said that they leave."""
-        found = self._availability.leaving()
-        boots = ((leaving, self._endpoint_by_id.get(leaving.endpoint)) for leaving in found)
-        return [
-            leaving
-            for leaving, view in boots
-            if view is not None and view.boot_id == leaving.boot_id
-        ]
+        return self._availability.select_leaving(self._endpoint_by_id.values())
 
     def missing_items(self, now: float) -> set[tuple[str, str]]:
         """Return the items of queued requests that no reachable endpoint has."""
