Avoid an endpoint that sends bytes without end at once

Callers' requests went on being sent to an endpoint that answers with bytes without end.

Cause: such a body or event counted as one failure of three in a row before an ejection. A head without end counted as a crash, which ejects at once, but made its request a suspect that crashes endpoints; some of these quarantine it on all hosts, though the endpoints run on.

Fix: an attempt that ends because the endpoint sent more bytes than a head, an event or a body may have, or most of the bytes of a full process, has the fault "unbounded": the endpoint is ejected at once, by a counter and a log line of its own, and the request is no suspect.

--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -21,6 +21,9 @@
         self.failed_attempts = Counter(
             "failed_attempts", "Attempts that failed, by outcome.", ("service", "outcome"), **common
         )
+        self.unbounded_answers = Counter(
+            "unbounded_answers", "Answers with more bytes than an answer may have.", **common
+        )
         self.unanswered = Counter(
             "unanswered_requests",
             "Whole requests whose connection ended without a complete answer.",
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -13,10 +13,12 @@
 from catkinhook.platform import protocolnames
 from catkinhook.requests.attempts import (
     CONNECTION_ERRORS,
+    UNBOUNDED_FAULT,
     AttemptError,
     AttemptLimits,
     ConnectionPool,
     CountingConnection,
+    TooManyBytesError,
 )
 from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError, ExtraBytesError
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
@@ -230,11 +232,16 @@
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
             outcome = Outcome.BROKEN if ran is Ran.NO else _find_outcome(error)
+            fault = ""
             if self._is_aborted:
                 outcome = Outcome.CANCELLED
+            elif _is_head_unbounded(error):
+                # The endpoint runs on, so the request hasn't crashed it.
+                outcome, fault = Outcome.BROKEN, UNBOUNDED_FAULT
             elif outcome is Outcome.CRASHED and connection.is_reused:
                 outcome = self._check_crash()
-            raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
+            reason = f"gave no answer: {error!r}"
+            raise self._error(reason, ran, outcome, fault=fault) from error
         self._process_head()
 
     def _check_crash(self) -> Outcome:
@@ -494,6 +501,13 @@
     return Outcome.BROKEN if is_silent or is_unreachable else Outcome.CRASHED
 
 
+def _is_head_unbounded(error: Exception) -> bool:
+    """Return whether a head exceeds a limit on its bytes, lines or headers."""
+    # http.client has no class of its own for too many headers.
+    limits = (TooManyBytesError, http.client.LineTooLong)
+    return isinstance(error, limits) or type(error) is http.client.HTTPException
+
+
 def _parse_load(text: str) -> tuple[int, int] | None:
     counts = [parse_count(part.strip()) for part in text.split(",")[:2]]
     return None if len(counts) < 2 or None in counts else (counts[0], counts[1])
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -49,6 +49,9 @@
 # Errors of connections that are used without urllib3's pool, which would wrap those of http.client.
 CONNECTION_ERRORS = (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException)
 
+# Fault of an answer with more bytes than an answer may have, or than the process can hold.
+UNBOUNDED_FAULT = "unbounded"
+
 _BODILESS_STATUS = frozenset({204, 304})
 
 
@@ -86,6 +89,10 @@
     headers: dict[str, str]
 
 
+class TooManyBytesError(ConnectionAbortedError):
+    """An answer has more bytes than it may have."""
+
+
 class BoundedReader(io.RawIOBase):
     """Raw stream over a socket with limits on the number of bytes and the total time."""
 
@@ -106,11 +113,11 @@
     def readinto(self, buffer: bytearray) -> int:
         """Read once.
 
-        :raises ConnectionAbortedError: if the limit on bytes is reached.
+        :raises TooManyBytesError: if the limit on bytes is reached.
         :raises TimeoutError: if the time limit is reached.
         """
         if self._remaining <= 0:
-            raise ConnectionAbortedError("more bytes came than may")
+            raise TooManyBytesError("more bytes came than may")
         seconds = self._deadline - time.monotonic()
         if seconds <= 0:
             raise TimeoutError("the time is over")
--- a/catkinhook/requests/eventsplitter.py
+++ b/catkinhook/requests/eventsplitter.py
@@ -23,6 +23,10 @@
     """An event stream is malformed or out of order."""
 
 
+class EventSizeError(EventError):
+    """An event is larger than events may be."""
+
+
 class EventSplitter:
     """Incremental splitter of server-sent events; their content is not checked."""
 
@@ -59,7 +63,7 @@
 
     def _check_size(self) -> None:
         if len(self._pending) > MAX_EVENT_BYTES:
-            raise EventError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
+            raise EventSizeError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
 
     def finish(self, is_delimited: bool = True) -> None:
         """Check that the stream ends after a complete block.
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -13,9 +13,14 @@
 from catkinhook.errors import Ran, Refusal
 from catkinhook.operations.decisionlog import DecisionLog
 from catkinhook.operations.hostmetrics import HostMetrics
-from catkinhook.requests.attempts import AttemptError
+from catkinhook.requests.attempts import UNBOUNDED_FAULT, AttemptError
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
-from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
+from catkinhook.requests.eventsplitter import (
+    EventError,
+    EventOrderChecker,
+    EventSizeError,
+    EventSplitter,
+)
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
 from catkinhook.requests.memorybudget import (
     HeldBody,
@@ -55,8 +60,6 @@
 EVENT_STREAM = "text/event-stream"
 # Fault of an answer whose events are incomplete or out of order.
 SEQUENCE_FAULT = "sequence"
-# Fault of an answer with more bytes than an answer may have, or than this process can hold.
-UNBOUNDED_FAULT = "unbounded"
 
 
 class UpstreamAnswer(Protocol):
@@ -302,14 +305,26 @@
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
 
-        :param fault: ``absent`` if the endpoint lacks the item, ``down`` if it can't be reached.
+        :param fault: ``absent`` if the endpoint lacks the item, ``down`` if it can't be reached,
+            ``UNBOUNDED_FAULT`` if it sent too many bytes.
         """
         with self._lock:
             self._job_by_attempt.pop(assignment.attempt, None)
         now = time.monotonic()
         is_absent, is_down = fault == "absent", fault == "down"
+        is_unbounded = fault == UNBOUNDED_FAULT
+        if is_unbounded and outcome is not Outcome.CANCELLED:
+            self._metrics.unbounded_answers.inc()
+            self._log.record(
+                "endpoint",
+                outcome="ejected: it sent more bytes than an answer may have",
+                endpoint=assignment.endpoint.endpoint,
+                address=assignment.endpoint.address,
+            )
         self._scheduler.tell(
-            lambda scheduler: scheduler.finish(assignment.attempt, outcome, now, is_absent, is_down)
+            lambda scheduler: scheduler.finish(
+                assignment.attempt, outcome, now, is_absent, is_down, is_unbounded
+            )
         )
 
     def record_crash(self, assignment: Assignment, has_started: bool) -> None:
@@ -733,8 +748,9 @@
                 # Streams have no end marker, so an empty one can't be told from a complete one.
                 raise EventError("the stream ended without an event")
         except EventError as error:
+            fault = UNBOUNDED_FAULT if isinstance(error, EventSizeError) else SEQUENCE_FAULT
             raise AttemptError(
-                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault=SEQUENCE_FAULT
+                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault=fault
             ) from error
 
     def _accept(self, blocks: list[bytes]) -> tuple[bytes, int, EventError | None]:
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -364,11 +364,14 @@
         now: float,
         is_absent: bool = False,
         is_down: bool = False,
+        is_unbounded: bool = False,
     ) -> None:
         """End an attempt.
 
         :param is_absent: whether the endpoint reported that it does not have the item.
         :param is_down: whether the endpoint can't be reached.
+        :param is_unbounded: whether the endpoint sent more bytes than an answer may have. It is
+            then ejected at once.
         """
         state = self._attempt_by_number.pop(attempt, None)
         if state is None:
@@ -392,7 +395,8 @@
             if self.suspects.status(request.fingerprint, now) is not SuspectStatus.HARMLESS:
                 self.suspects.record(EventKind.CLEAR, request.fingerprint, request.model, now)
         elif outcome is not Outcome.CANCELLED:
-            self._ejections.record_failure(endpoint, outcome is Outcome.CRASHED, now)
+            ejects = outcome is Outcome.CRASHED or is_unbounded
+            self._ejections.record_failure(endpoint, ejects, now)
         # A refused connection carried no request, so the request can't have crashed the endpoint.
         is_crash = outcome is Outcome.CRASHED and state.first_event_at is None and not is_down
         if is_crash and not self._is_leaving(endpoint):
