Refuse an answer at its head that announces more than may be held

Callers waited until their deadline, and the host read 8 MiB, for an answer that could only fail.

Cause: the length of a body was checked while it was read, not when it was announced.

Fix: an answer that is held whole is refused at its head if its Content-Length exceeds MAX_ANSWER_BYTES. Its endpoint is not ejected at once: it may be sound, and the next one would announce the same.

Evidence: test_answer_that_is_announced_too_long_is_refused_at_its_head failed before (504 at the deadline instead of 502 at once).

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -162,6 +162,7 @@
 
     :ivar is_to_head: whether this answers a HEAD request and has no body.
     :ivar announced_length: length that an answer to HEAD announces, None if it has none.
+    :ivar length: length of the body that follows the head, None if the head doesn't state it.
     :ivar probes_peer: whether the kernel probes an endpoint that sends nothing, and closes the
         connection if it is gone.
     :ivar ends_at: time at which an unfinished answer is aborted.
@@ -192,6 +193,7 @@
         self.status = 0
         self.headers: Headers = ()
         self.announced_length: int | None = None
+        self.length: int | None = None
         self.load: tuple[int, int] | None = None
 
     def send(
@@ -338,6 +340,7 @@
             self._bytes_left = parse_count(lengths.pop())
             if self._bytes_left is None:
                 raise self._error("sent an answer of unknown length", fault="unframed")
+            self.length = self._bytes_left
             self._is_ended = self._bytes_left == 0
         self._take_buffered()
 
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -69,6 +69,7 @@
     :ivar headers: headers for the caller.
     :ivar is_to_head: whether this answers a HEAD request and has no body.
     :ivar announced_length: length of the answer to GET that an answer to HEAD announces, if any.
+    :ivar length: length of the body that follows the head, None if the head doesn't state it.
     :ivar load: running and waiting requests of the endpoint, None if it did not report them.
     :ivar is_delimited: whether a length or chunks mark the end of the body; otherwise it ends with
         its connection.
@@ -78,6 +79,7 @@
     headers: tuple[tuple[str, str], ...]
     is_to_head: bool
     announced_length: int | None
+    length: int | None
     load: tuple[int, int] | None
     is_delimited: bool
 
@@ -651,6 +653,9 @@
         )
 
     def _read_complete_answer(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
+        if answer.length is not None and answer.length > MAX_ANSWER_BYTES:
+            reason = f"endpoint announced an answer of more than {MAX_ANSWER_BYTES} bytes"
+            raise AttemptError(STEP, assignment.endpoint.endpoint, reason, Ran.UNKNOWN)
         body = HeldBody(self._forwarder.memory, answer.abort)
         try:
             with self._memory_errors(assignment, body):
--- a/tests/memory_host.py
+++ b/tests/memory_host.py
@@ -56,6 +56,7 @@
 _FRAMING_BY_KIND = {
     "chunks": "Transfer-Encoding: chunked\r\n\r\n",
     "announced": f"Content-Length: {1 << 40}\r\n\r\n",
+    "only announced": f"Content-Length: {1 << 40}\r\n\r\n",
     "refusal": "Not-Executed: 1\r\n\r\n",
     "trailer": "Transfer-Encoding: chunked\r\n\r\n0\r\n",
     "extension": "Transfer-Encoding: chunked\r\n\r\n",
@@ -71,7 +72,8 @@
     """Endpoint that sends bytes without end, or large answers.
 
     :ivar kind: key of ``_REPEATED_BY_KIND``, ``events`` (valid events without end), ``large`` (a
-        sound answer) or empty for regular answers.
+        sound answer), ``only announced`` (a head that no body follows) or empty for regular
+        answers.
     :ivar sent: bytes sent of all answers without end.
     :ivar ended_answers: number of answers that are not regular and ended.
     """
@@ -112,6 +114,9 @@
         framing = _FRAMING_BY_KIND.get(self.kind, "\r\n")
         if self.kind not in ("no head", "interim"):
             request.wfile.write((head + framing).encode())
+        if self.kind == "only announced":
+            self.ended.wait(MAX_SENDING_S)
+            return
         if self.kind == "large":
             request.wfile.write(_LARGE_ANSWER)
             return
--- a/tests/test_unbounded_endpoints.py
+++ b/tests/test_unbounded_endpoints.py
@@ -9,6 +9,8 @@
 # Bodies and heads that exceed each of the bounds of an answer.
 PLAIN_KINDS = ("body", "chunks", "head", "no head")
 MAX_REQUESTS = 40
+# Deadline of the requests of ``HostCase``.
+DEADLINE_S = 3.0
 
 
 class UnboundedEndpointsTest(HostCase):
@@ -64,3 +66,11 @@
             self.send_request("GET", "/look/x")
         events = self.host._scheduler.ask(lambda s: s.suspects.events(time.monotonic()))
         self.assertEqual(events, [])
+
+    def test_answer_that_is_announced_too_long_is_refused_at_its_head(self) -> None:
+        """A body that can't be held must not be read, nor its caller wait for it."""
+        for endpoint in self.plain_endpoints:
+            endpoint.kind = "only announced"
+        began = time.monotonic()
+        self.assertEqual(self.send_request("POST", "/post/x", b"b")[0].status, 502)
+        self.assertLess(time.monotonic() - began, DEADLINE_S / 2)
