Refuse an answer whose chunk framing has no end

Callers waited until their deadline, and the host spent its processor time, on trailers or chunk extensions without end; their requests then counted as suspects that crash endpoints.

Cause: the bounds of a body count its content, of which such an answer has none.

Fix: the decoder refuses framing beyond 64 KiB and 16 bytes for each byte of content. The attempt has the fault "unbounded", as with the other bounds. The gateway's streams use the same decoder.

Evidence, failed before with the kinds trailer and extension: test_endpoint_that_sends_bytes_without_end_is_avoided_at_once, test_request_that_gets_bytes_without_end_is_no_suspect.

--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -20,7 +20,12 @@
     CountingConnection,
     TooManyBytesError,
 )
-from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError, ExtraBytesError
+from catkinhook.requests.chunkdecoder import (
+    ChunkDecoder,
+    ChunkError,
+    ExtraBytesError,
+    FramingSizeError,
+)
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
@@ -425,6 +430,9 @@
                 self._is_ended = not data
         except TimeoutError as error:
             raise self._error(f"was silent for {timeout_s:.2f} s") from error
+        except FramingSizeError as error:
+            reason = f"broke off its answer: {error!r}"
+            raise self._error(reason, fault=UNBOUNDED_FAULT) from error
         except (ChunkError, *CONNECTION_ERRORS) as error:
             outcome = Outcome.CANCELLED if self._is_aborted else _find_outcome(error)
             raise self._error(f"broke off its answer: {error!r}", outcome=outcome) from error
--- a/catkinhook/requests/chunkdecoder.py
+++ b/catkinhook/requests/chunkdecoder.py
@@ -6,7 +6,13 @@
 
 import re
 
+from catkinhook.units import KIB
+
 MAX_LINE_BYTES = 1024
+# Sizes, extensions and trailers may take this many bytes, and ``MAX_FRAMING_RATIO`` times those of
+# the content. A chunk of one byte without extensions needs five.
+MAX_FRAMING_BYTES = 64 * KIB
+MAX_FRAMING_RATIO = 16
 
 _SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
 
@@ -15,6 +21,10 @@
     """The bytes are not valid chunked transfer coding."""
 
 
+class FramingSizeError(ChunkError):
+    """There are too many bytes of framing, which could go on without end."""
+
+
 class ExtraBytesError(ChunkError):
     """Bytes follow the last chunk.
 
@@ -37,11 +47,14 @@
         self._pending = b""
         self._remaining = 0
         self._in_trailer = False
+        self._framing_bytes = 0
+        self._content_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Decode bytes and return their content.
 
         :raises ChunkError: if the coding is invalid.
+        :raises FramingSizeError: if there are far more bytes of framing than of content.
         :raises ExtraBytesError: if bytes follow its end.
         """
         data = self._pending + data if self._pending else data
@@ -55,6 +68,7 @@
                 # The line end after a chunk is included in ``_remaining``.
                 part = data[start : start + self._remaining - 2]
                 parts.append(part)
+                self._content_bytes += len(part)
                 start += len(part)
                 self._remaining -= len(part)
                 continue
@@ -71,10 +85,16 @@
                 if len(self._pending) > MAX_LINE_BYTES:
                     raise ChunkError("a chunk header is too long")
                 break
+            self._count_framing(end + 2 - start)
             self._parse_line(data[start:end])
             start = end + 2
         return b"".join(parts)
 
+    def _count_framing(self, count: int) -> None:
+        self._framing_bytes += count
+        if self._framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._content_bytes:
+            raise FramingSizeError(f"there are more than {self._framing_bytes} bytes of framing")
+
     def _parse_line(self, line: bytes) -> None:
         if self._in_trailer:
             self.ended = not line
--- a/tests/test_unbounded_endpoints.py
+++ b/tests/test_unbounded_endpoints.py
@@ -7,7 +7,7 @@
 
 STREAM_HEADERS = {"Model": "m1", "Token_Usage": "10,20"}
 # Bodies and heads that exceed each of the bounds of an answer.
-PLAIN_KINDS = ("body", "chunks", "head", "no head")
+PLAIN_KINDS = ("body", "chunks", "head", "no head", "trailer", "extension")
 MAX_REQUESTS = 40
 # Deadline of the requests of ``HostCase``.
 DEADLINE_S = 3.0
