Bound an answer of the store

Fix: an answer of more than 4 MiB is an error and closes its connection; a page of rows has at most 1 MB.

Evidence: test_answer_without_end_is_closed failed before (64 MiB read, as much as was sent). test_calls_share_a_connection passed before; it guards the way in which the body is read now. make_pool of the tests honours preload_content now, as the real pool does; no check changed.

--- a/catkinhook/platform/storeclient.py
+++ b/catkinhook/platform/storeclient.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import json
 import reprlib
 import socket
 from typing import Any
@@ -13,6 +14,7 @@
 from catkinhook.httpheads import CheckedPool
 from catkinhook.state.storeinterfaces import TableChanges, VersionedRow
 from catkinhook.texts import is_encodable
+from catkinhook.units import MIB
 
 STEP = "store"
 # The store usually responds in about 4 ms; it is considered unavailable after this timeout.
@@ -23,6 +25,8 @@
 TCP_USER_TIMEOUT_MS = 1500
 # Rows requested in one page; this is the maximum that the store allows.
 PAGE_ROWS = 500
+# A page of rows has at most 1 MB.
+MAX_ANSWER_BYTES = 4 * MIB
 # Versions are sent to other hosts in i64 fields.
 MAX_VERSION = 2**63 - 1
 
@@ -65,11 +69,12 @@
         """
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=CALL_TIMEOUT_S + wait_s)
         try:
-            if method == "GET":
-                answer = self._pool.request(method, path, fields=fields, timeout=timeout)
-            else:
-                answer = self._pool.request(method, path, json=fields, timeout=timeout)
-            body = answer.json() if answer.data else {}
+            options = {"fields" if method == "GET" else "json": fields}
+            answer = self._pool.request(
+                method, path, timeout=timeout, preload_content=False, **options
+            )
+            data = self._read_bounded(answer)
+            body = json.loads(data.decode()) if data else {}
         except urllib3.exceptions.NewConnectionError as error:
             return Err(self._error(str(error), Effect.NONE))
         except (urllib3.exceptions.HTTPError, OSError, ValueError, RecursionError) as error:
@@ -82,6 +87,18 @@
             return Err(self._error(reason, Effect.UNKNOWN))
         return Ok((answer.status, body))
 
+    def _read_bounded(self, answer: urllib3.BaseHTTPResponse) -> bytes:
+        """Return the body of an answer.
+
+        :raises ConnectionAbortedError: if it exceeds the limit.
+        """
+        # The connection goes back to the pool at the end of the body.
+        data = answer.read(MAX_ANSWER_BYTES + 1)
+        if len(data) > MAX_ANSWER_BYTES:
+            answer.close()
+            raise ConnectionAbortedError(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
+        return data
+
     def _error(self, reason: str, effect: Effect) -> StoreError:
         return StoreError(STEP, self._address, reason, effect)
 
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -1,5 +1,6 @@
 """Odd values that another writer may have written, as JSON texts, and their use in records."""
 
+import io
 import json
 from collections.abc import Iterator
 from types import SimpleNamespace
@@ -142,4 +143,10 @@
 
 def make_pool(body: bytes, status: int) -> SimpleNamespace:
     """Return a connection pool that answers every request with one body."""
-    return SimpleNamespace(request=lambda *_, **__: urllib3.HTTPResponse(body, status=status))
+
+    def request(*_: object, preload_content: bool = True, **__: object) -> urllib3.HTTPResponse:
+        return urllib3.HTTPResponse(
+            io.BytesIO(body), status=status, preload_content=preload_content
+        )
+
+    return SimpleNamespace(request=request)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Platform adapter: settings, records, engine and store clients, and where its names are used."""
 
+import contextlib
 import json
 import re
 import socket
@@ -8,6 +9,7 @@
 import unittest
 from http.server import BaseHTTPRequestHandler
 from pathlib import Path
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,13 +20,20 @@
 from catkinhook.platform.protocolnames import OWN_TABLE
 from catkinhook.platform.records import decode_configuration, decode_endpoint, decode_report
 from catkinhook.platform.settingsfile import parse_settings_text
-from catkinhook.platform.storeclient import CALL_TIMEOUT_S, StoreClient, TableFeed, TableRow
+from catkinhook.platform.storeclient import (
+    CALL_TIMEOUT_S,
+    MAX_ANSWER_BYTES,
+    StoreClient,
+    TableFeed,
+    TableRow,
+)
 from catkinhook.platform.upstream import READ_BYTES, EndpointAnswer
 from catkinhook.requests.attempts import AttemptError, ConnectionPool
 from catkinhook.requests.endpointactivity import EndpointActivity
 from catkinhook.requests.routedrequest import Assignment
 from catkinhook.requests.routetable import RetryMode
 from catkinhook.state.views import EndpointView
+from catkinhook.units import KIB, MIB
 from tests.hostcase import WAIT_S
 from tests.platform_fakes import FakeEndpoint, FakeStore, make_configuration
 
@@ -287,6 +296,31 @@
             self.store.status = status
             self.assertIs(self.row.write(0, b"two").unwrap_err().effect, Effect.NONE)
 
+    def test_answer_without_end_is_closed(self) -> None:
+        """An answer of the store without end must not fill the memory of the process."""
+        sent: list[int] = []
+
+        def send_without_end(request: BaseHTTPRequestHandler) -> None:
+            request.close_connection = True
+            request.send_response(200)
+            request.end_headers()
+            with contextlib.suppress(OSError):
+                while len(sent) < 1024:
+                    request.wfile.write(b"x" * (64 * KIB))
+                    sent.append(1)
+
+        with mock.patch.object(self.store, "handle", send_without_end):
+            error = self.row.read().unwrap_err()
+        self.assertIs(error.effect, Effect.UNKNOWN)
+        # What the kernel buffers on both sides comes on top of the limit.
+        self.assertLess(len(sent) * 64 * KIB, MAX_ANSWER_BYTES + 16 * MIB)
+
+    def test_calls_share_a_connection(self) -> None:
+        """A call must return its connection, or each would need a new one."""
+        for number in range(5):
+            self.row.write(self.row.read().unwrap().version, b"%d" % number).unwrap()
+        self.assertEqual(self.client._pool.num_connections, 1)
+
     def test_feed_reports_removals_and_lists_again_without_history(self) -> None:
         """An endpoint must disappear when its entry is removed."""
         feed = TableFeed(self.client, "servers")
