Bound the bytes that a gateway's requests hold together

Fix: the setting max_held, by default 256 MiB, limits the account of held bytes of a gateway. Answers that are held whole, requests and output are in it.

Evidence: test_held_answers_are_bounded_together; before, there was no such bound, and each of its answers was held. The memory of a gateway's process was not measured.

--- a/catkinhook/gateway.py
+++ b/catkinhook/gateway.py
@@ -27,6 +27,7 @@
 from catkinhook.requests.dispatchactor import DispatcherProxy
 from catkinhook.requests.gatewaydispatcher import Dispatcher
 from catkinhook.requests.gatewayreporter import Reporter
+from catkinhook.requests.memorybudget import MemoryBudget
 from catkinhook.requests.pump import Pump
 from catkinhook.requests.web import Application, RequestSlots, ServingState
 from catkinhook.settings import GatewaySettings, Settings, read_secret
@@ -125,6 +126,7 @@
 class Listener:
     """Service that runs a waitress server in a thread and drains requests when it is closed.
 
+    :param memory: account of the bytes that connections hold.
     :param stop_leasing: stops the leasing of deferred requests; called when the gateway becomes not
         ready, None if there are none.
     :ivar port: bound port, set by ``start``.
@@ -136,8 +138,10 @@
         state: ServingState,
         slots: RequestSlots,
         settings: GatewaySettings,
+        memory: MemoryBudget,
         stop_leasing: Callable[[], None] | None = None,
     ) -> None:
+        self._memory = memory
         self._application = application
         self._state = state
         self._slots = slots
@@ -170,6 +174,7 @@
             log_socket_errors=False,
             ident="catkinhook",
         )
+        self._server.memory = self._memory
         self.port = int(self._server.effective_port)
         self._thread = threading.Thread(target=self._server.run, name="listener", daemon=True)
         self._thread.start()
@@ -229,6 +234,7 @@
     reporter = Reporter(origin, incarnation, dispatch, slots, state)
     connections = ConnectionPool()
     limits = AttemptLimits(gateway.connect_timeout, gateway.gap_timeout, gateway.max_answer)
+    memory = MemoryBudget(gateway.max_held, lambda kind, size: metrics.evictions.labels(kind).inc())
     pump = Pump(gateway.gap_timeout)
     quarantine_guard = quarantine_sync = None
     if quarantine is not None:
@@ -247,6 +253,7 @@
         adapters,
         quarantine_guard,
         source.report_now,
+        memory=memory,
     )
     deferred_service = None
     if deferred is not None:
@@ -278,7 +285,7 @@
     if deferred_service is not None:
         kernel.register("deferring", deferred_service)
     stop_leasing = deferred_service.stop_leasing if deferred_service is not None else None
-    kernel.register("listener", Listener(application, state, slots, gateway, stop_leasing))
+    kernel.register("listener", Listener(application, state, slots, gateway, memory, stop_leasing))
     return kernel
 
 
--- a/catkinhook/operations/metrics.py
+++ b/catkinhook/operations/metrics.py
@@ -38,6 +38,12 @@
         self.resumes = Counter("stream_resumes", "Streams resumed on their engine.", **common)
         self.callers_left = Counter("callers_left", "Callers that left early.", **common)
         self.in_progress = Gauge("requests_in_progress", "Requests that hold a slot.", **common)
+        self.evictions = Counter(
+            "evictions",
+            "Bodies and other bytes that were dropped at the memory limit, by kind.",
+            ("kind",),
+            **common,
+        )
         self.first_token = Histogram(
             "first_token_seconds",
             "Time from arrival to the first bytes of the answer.",
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -18,6 +18,7 @@
 from catkinhook.errors import EngineError, Ran
 from catkinhook.httpheads import CheckedResponse, is_delimited
 from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError
+from catkinhook.requests.memorybudget import HeldBody, MemoryBudget, MemoryLimitError
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.views import EndpointView
 from catkinhook.units import KIB, MIB
@@ -330,6 +331,7 @@
 
     :param attempt_id: sent as ``X-Request-Id``, which the endpoint must echo.
     :param fresh: true to use a new connection.
+    :param memory: account of the bytes that requests hold, None for one without a limit.
     :ivar boot_id: boot id of the endpoint that received the request, empty if unknown.
     :ivar aborted: whether ``abort`` was called.
     """
@@ -341,7 +343,9 @@
         attempt_id: str,
         limits: AttemptLimits,
         fresh: bool = False,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory or MemoryBudget()
         self.attempt_id = attempt_id
         self.endpoint = endpoint
         self.boot_id = endpoint.boot_id
@@ -451,19 +455,28 @@
     def read_answer(self) -> bytes:
         """Return the rest of the answer.
 
-        :raises AttemptError: if it was truncated, exceeds the size limit, or has neither a content
-            length nor chunked coding, so that a truncation can't be detected.
+        :raises AttemptError: if it was truncated, exceeds the size limit or what the process can
+            hold, or has neither a content length nor chunked coding, so that a truncation can't be
+            detected.
         """
         if not self._has_framed_body():
             raise self._make_error("sent an answer whose end can't be told from a lost connection")
-        parts, size = [], 0
-        while part := self.read_some():
-            size += len(part)
-            if size > self._limits.max_answer:
-                raise self._make_error(f"sent more than {self._limits.max_answer} bytes")
-            parts.append(part)
+        limit = self._limits.max_answer
+        # An eviction needn't end a read: the gap timeout does, and nothing is held meanwhile.
+        held = HeldBody(self._memory, lambda: None)
+        with contextlib.closing(held):
+            try:
+                while part := self.read_some():
+                    held.append(part)
+                    if held.size > limit:
+                        reason = f"sent more than {limit} bytes"
+                        raise self._make_error(reason, fault=UNBOUNDED_FAULT)
+                body = b"".join(held)
+            except MemoryLimitError as error:
+                reason = "sent more bytes than this process can hold"
+                raise self._make_error(reason, fault=UNBOUNDED_FAULT) from error
         self.finish()
-        return b"".join(parts)
+        return body
 
     def finish(self) -> None:
         """Return the connection to the pool if the answer was read to its end."""
--- a/catkinhook/requests/callrunner.py
+++ b/catkinhook/requests/callrunner.py
@@ -23,6 +23,7 @@
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.dispatchactor import DispatcherProxy
 from catkinhook.requests.gatewaydispatcher import Choice, Request
+from catkinhook.requests.memorybudget import MemoryBudget
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.pump import Pump
 from catkinhook.requests.relay import StreamRelay, render_error
@@ -138,6 +139,7 @@
     :param adapters: None to refuse requests whose adapter is resident on no endpoint.
     :param guard: None if no other instance runs requests.
     :param on_crash: called after a crash was recorded in the dispatcher.
+    :param memory: account of the bytes that requests hold, None for one without a limit.
     """
 
     def __init__(
@@ -154,7 +156,9 @@
         on_crash: Callable[[], None] = lambda: None,
         clock: Clock = monotonic,
         sleep: Callable[[float], None] = time.sleep,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory or MemoryBudget()
         self._dispatch = dispatch
         self._connections = connections
         self._limits = limits
@@ -329,7 +333,12 @@
     def _make_attempt(self, call: Call, choice: Choice) -> Attempt:
         fresh = not call.request.repeatable
         return Attempt(
-            self._connections, choice.endpoint, choice.attempt_id, self._limits, fresh=fresh
+            self._connections,
+            choice.endpoint,
+            choice.attempt_id,
+            self._limits,
+            fresh=fresh,
+            memory=self._memory,
         )
 
     def _run_attempt(
--- a/catkinhook/settings.py
+++ b/catkinhook/settings.py
@@ -35,6 +35,7 @@
     :ivar concurrent_requests: limit on requests in progress, each of which occupies a thread.
     :ivar max_body: largest request body in bytes.
     :ivar max_answer: largest answer that is buffered or stored, in bytes.
+    :ivar max_held: bytes of requests, answers and output that all requests hold together.
     :ivar connect_timeout: seconds to connect to an endpoint.
     :ivar gap_timeout: seconds without a byte after which a stream counts as broken.
     :ivar notice_time: seconds between becoming not ready and closing the listening socket.
@@ -50,6 +51,7 @@
     concurrent_requests: int = 256
     max_body: Bytes = Bytes(2 * MIB)
     max_answer: Bytes = Bytes(8 * MIB)
+    max_held: Bytes = Bytes(256 * MIB)
     connect_timeout: Seconds = Seconds(0.5)
     gap_timeout: Seconds = Seconds(30.0)
     notice_time: Seconds = Seconds(2.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import threading
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 import urllib3
@@ -19,6 +20,7 @@
 from catkinhook.requests.gatewaydispatcher import Dispatcher
 from catkinhook.requests.intake import make_fingerprint
 from catkinhook.requests.outcomes import Outcome
+from catkinhook.units import KIB, MIB
 from tests.gateway_fakes import Cut, FakeEndpoint, RetryingDispatcher, make_settings, make_snapshot
 
 WAIT_S = 10.0
@@ -52,7 +54,7 @@
     def start(self, *endpoints: FakeEndpoint, **services: object) -> None:
         """Start a gateway with these endpoints."""
         views = [endpoint.view(str(index)) for index, endpoint in enumerate(endpoints)]
-        settings = make_settings(gap_timeout=2.0, max_body=10_000)
+        settings = make_settings(gap_timeout=2.0, max_body=10_000, max_held=MIB)
         source = StaticSnapshotSource(make_snapshot(*views))
         self.kernel = build_kernel(settings, source, self.dispatcher, **services)
         self.kernel.start()
@@ -255,6 +257,24 @@
         self.check_outcomes([Outcome.CRASHED])
 
 
+class HeldAnswersTest(GatewayCase):
+    """Answers that several requests hold at once."""
+
+    def test_held_answers_are_bounded_together(self) -> None:
+        """Answers that are allowed one by one must not fill the memory of a gateway together."""
+        self.ledger.on_request = lambda request: (200, {}, b"x" * (512 * KIB))
+        with ThreadPoolExecutor(8) as executor:
+            calls = [executor.submit(self.call, "GET", "/services/ledger/x") for _ in range(8)]
+            statuses = {call.result().status for call in calls}
+        self.assertLessEqual(statuses, {200, 502})
+        self.ledger.on_request = lambda request: (200, {}, b"x" * (2 * MIB))
+        answer = self.call("GET", "/services/ledger/x")
+        self.assertEqual(answer.status, 502)
+        self.assertIn(b"more bytes than this process can hold", answer.data)
+        self.ledger.on_request = lambda request: None
+        self.assertEqual(self.call("GET", "/services/ledger/x").status, 200)
+
+
 class DeferredTest(GatewayCase):
     def setUp(self) -> None:
         super().setUp()
