Don't cut off a caller that reads when others hold as much

A caller that read its answer was cut off at the memory limit beside callers that didn't read theirs.

Cause: among holders of nearly the same size the largest one at that moment went.

Fix: of those with at least half of the bytes of the largest, the one that has changed least recently goes.

--- a/catkinhook/requests/memorybudget.py
+++ b/catkinhook/requests/memorybudget.py
@@ -15,6 +15,8 @@
 MIN_LIMIT_BYTES = 16 * MIB
 # Share of the limit that holders which can't be evicted may use.
 PINNED_SHARE = 0.5
+# Holders with at least this share of the bytes of the largest one may be evicted in its place.
+VICTIM_SHARE = 0.5
 # Smaller parts of a body are joined, because each object takes about 50 bytes more than its
 # content.
 BLOCK_BYTES = 64 * KIB
@@ -32,7 +34,9 @@
 class MemoryBudget:
     """Account of the bytes that are held for requests in progress; thread-safe.
 
-    When the limit is reached, the largest holder is evicted, not the newest one.
+    When the limit is reached, one of the largest holders is evicted, not the newest one. Of those
+    that hold similarly much, it is the one that has changed least recently: the output of a caller
+    that doesn't read stays as it is, that of one that reads slowly changes.
 
     :param limit: number of bytes, infinite for an account without a limit.
     :param on_evict: called with the kind and the bytes of each holder that is evicted; must not
@@ -50,6 +54,7 @@
         self._evictable: set[MemoryHolder] = set()
         self._held = 0
         self._pinned = 0
+        self._changes = 0
 
     @property
     def held(self) -> int:
@@ -86,11 +91,13 @@
                     self._evictable.add(holder)
                 else:
                     self._evictable.discard(holder)
+                self._changes += 1
+                holder.changed = self._changes
             while self._held > self.limit and self._evictable:
-                largest = max(self._evictable, key=lambda other: other.size)
-                evicted.append((largest, largest.size))
-                self._remove(largest)
-                largest.is_evicted = True
+                victim = self._choose_victim()
+                evicted.append((victim, victim.size))
+                self._remove(victim)
+                victim.is_evicted = True
         for other, size in evicted:
             self._on_evict(other.kind, size)
             if other is not holder:
@@ -121,6 +128,11 @@
             self._remove(holder)
             holder.is_closed = True
 
+    def _choose_victim(self) -> "MemoryHolder":
+        min_size = VICTIM_SHARE * max(holder.size for holder in self._evictable)
+        largest = [holder for holder in self._evictable if holder.size >= min_size]
+        return min(largest, key=lambda holder: holder.changed)
+
     def _remove(self, holder: "MemoryHolder") -> None:
         self._evictable.discard(holder)
         self._held -= holder.size
@@ -133,16 +145,27 @@
     """Bytes that one owner holds; its methods may be called by several threads.
 
     :ivar size: number of bytes.
+    :ivar changed: number of the latest change, in the order of all changes of the account.
     :ivar is_evicted: whether the owner has to drop its bytes.
     """
 
-    __slots__ = ("_budget", "kind", "evict", "size", "is_evicted", "is_pinned", "is_closed")
+    __slots__ = (
+        "_budget",
+        "kind",
+        "evict",
+        "size",
+        "changed",
+        "is_evicted",
+        "is_pinned",
+        "is_closed",
+    )
 
     def __init__(self, budget: MemoryBudget, kind: str, evict: Callable[[], None]) -> None:
         self._budget = budget
         self.kind = kind
         self.evict = evict
         self.size = 0
+        self.changed = 0
         self.is_evicted = False
         self.is_pinned = False
         self.is_closed = False
--- a/tests/test_memorybudget.py
+++ b/tests/test_memorybudget.py
@@ -52,6 +52,19 @@
         self.assertFalse(any(other.is_evicted for other in others))
         self.assertEqual(self.memory.held, 60)
 
+    def test_caller_that_reads_is_not_evicted_before_one_that_does_not(self) -> None:
+        """Among similar holders, a slow but sound one must not go for those that stand still.
+
+        A caller that read its answer was cut off because its unread output was just the largest.
+        """
+        stuck = self.open("stuck", 40)
+        reading = self.open("reading", 45)
+        reading.give_back(10)
+        reading.take(10)
+        self.open("newest", 30)
+        self.assertTrue(stuck.is_evicted)
+        self.assertFalse(reading.is_evicted)
+
     def test_bytes_are_given_back_once(self) -> None:
         """The account must not drift, or the process would refuse answers without holding any."""
         holder = self.open("a", 60)
