Give back the bytes of empty lines between requests

Cause: waitress drops empty lines before a request without closing their parser, which had pinned them.

Fix: the parser of empty lines closes itself. A server that was shut down ignores late evictions, whose trigger is closed.

Evidence: test_kept_connection_holds_nothing_between_requests failed before. Three modules check now that nothing is held when all requests have ended.

--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -5,6 +5,7 @@
 import struct
 import threading
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
@@ -205,12 +206,17 @@
         whose caller reads nothing never can.
         """
         self.will_close = True
-        self.server.trigger.pull_trigger(self.handle_close)
+        self._run_in_loop(self.handle_close)
+
+    def _run_in_loop(self, function: Callable[[], object]) -> None:
+        # The trigger of a server that was shut down is closed, and all connections with it.
+        with contextlib.suppress(OSError):
+            self.server.trigger.pull_trigger(function)
 
     def _refuse_from_thread(self, request: Parser) -> None:
         """Refuse a request that is not whole; called by any thread."""
         reason = "the process holds too many bytes, most of them this request"
-        self.server.trigger.pull_trigger(lambda: request.refuse(reason))
+        self._run_in_loop(lambda: request.refuse(reason))
 
     def answer_unfinished(self) -> AnsweredRequest | None:
         """Answer the first request unless its thread has begun to, and close the connection.
--- a/catkinhook/requestparser.py
+++ b/catkinhook/requestparser.py
@@ -69,6 +69,9 @@
                 self._held.pin()
         except MemoryLimitError as error:
             self.refuse(str(error))
+        if self.completed and self.empty:
+            # The channel drops empty lines without closing them.
+            self.close()
         if self.completed:
             self.completed_at = time.monotonic()
         return count
--- a/tests/test_held_connections.py
+++ b/tests/test_held_connections.py
@@ -139,3 +139,18 @@
         self.assertEqual(statuses, [200] * 3 + [503] * 5)
         self.assertEqual(self.served, [MIB // 4] * 3)
         wait_until(lambda: self.memory.held == 0)
+
+    def test_kept_connection_holds_nothing_between_requests(self) -> None:
+        """The account must not drift, or a host would refuse all requests after some time.
+
+        Empty lines between requests are requests of their own to the parser, and are dropped.
+        """
+        connection = self.connect()
+        for _ in range(20):
+            connection.sendall(b"\r\n\r\n" * 10)
+            connection.sendall(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+            data = b""
+            while not data.endswith(b"\r\n\r\n3"):
+                data += connection.recv(KIB)
+        wait_until(lambda: self.memory.held == 0)
+        self.assertEqual(len(self.server.active_channels), 1)
--- a/tests/test_unbounded_endpoints.py
+++ b/tests/test_unbounded_endpoints.py
@@ -52,6 +52,7 @@
             self.check_avoided("/live/x", self.engines, "event", **STREAM_HEADERS)
         count = len(PLAIN_KINDS) + 1
         wait_until(lambda: self.count("unbounded_answers_total") == count)
+        wait_until(lambda: self.host.memory.held == 0)
         labels = {"kind": "endpoint", "outcome": "ejected"}
         wait_until(lambda: self.count("decisions_total", **labels) == count)
 
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -57,6 +57,7 @@
         wait_until(lambda: self.host.state.in_progress == 0)
         wait_until(lambda: any(engine.ended_answers for engine in self.engines))
         wait_until(lambda: not self.host.front.server.active_channels)
+        self.assertEqual(self.host.memory.held, 0)
 
     def test_caller_that_leaves_without_reading_ends_its_request(self) -> None:
         """An endpoint must not stay at work for a caller that left while the host waited for it."""
@@ -65,6 +66,7 @@
         began = time.monotonic()
         wait_until(lambda: any(engine.ended_answers for engine in self.engines))
         wait_until(lambda: self.host.state.in_progress == 0)
+        wait_until(lambda: self.host.memory.held == 0)
         self.assertLess(time.monotonic() - began, WAIT_S / 2)
 
     def test_slow_caller_gets_its_whole_answer(self) -> None:
@@ -81,3 +83,4 @@
         head, _, body = data.partition(b"\r\n\r\n")
         self.assertIn(b"200 OK", head)
         self.assertEqual(body, MisbehavingEndpoint.large_answer())
+        wait_until(lambda: self.host.memory.held == 0)
