--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -15,12 +15,19 @@
     CONNECTION_ERRORS,
     DOWN_FAULT,
     UNAVAILABLE_FAULT,
+    UNBOUNDED_FAULT,
     AttemptError,
     AttemptLimits,
     ConnectionPool,
     CountingConnection,
+    TooManyBytesError,
+)
+from catkinhook.requests.chunkdecoder import (
+    ChunkDecoder,
+    ChunkError,
+    ExtraBytesError,
+    FramingSizeError,
 )
-from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError, ExtraBytesError
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
 from catkinhook.requests.endpointavailability import OWN_SOURCE, EndpointAvailability
 from catkinhook.requests.outcomes import Outcome
@@ -171,6 +178,7 @@
 
     :ivar is_to_head: whether this answers a HEAD request and has no body.
     :ivar announced_length: length that an answer to HEAD announces, None if it has none.
+    :ivar length: length of the body that follows the head, None if the head doesn't state it.
     :ivar probes_peer: whether the kernel probes an endpoint that sends nothing, and closes the
         connection if it is gone.
     :ivar ends_at: time at which an unfinished answer is aborted.
@@ -203,6 +211,7 @@
         self.status = 0
         self.headers: Headers = ()
         self.announced_length: int | None = None
+        self.length: int | None = None
         self.load: tuple[int, int] | None = None
 
     def send(
@@ -250,11 +259,16 @@
         except CONNECTION_ERRORS as error:
             ran = Ran.UNKNOWN if connection.bytes_sent else Ran.NO
             outcome = Outcome.BROKEN if ran is Ran.NO else _find_outcome(error)
+            fault = ""
             if self._is_aborted:
                 outcome = Outcome.CANCELLED
+            elif _is_head_unbounded(error):
+                # The endpoint runs on, so the request hasn't crashed it.
+                outcome, fault = Outcome.BROKEN, UNBOUNDED_FAULT
             elif outcome is Outcome.CRASHED and connection.is_reused:
                 outcome = self._check_crash()
-            raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
+            reason = f"gave no answer: {error!r}"
+            raise self._error(reason, ran, outcome, fault=fault) from error
         self._process_head()
 
     def _check_available(self) -> None:
@@ -378,6 +392,7 @@
             self._bytes_left = parse_count(lengths.pop())
             if self._bytes_left is None:
                 raise self._error("sent an answer of unknown length", fault="unframed")
+            self.length = self._bytes_left
             self._is_ended = self._bytes_left == 0
         self._take_buffered()
 
@@ -462,6 +477,9 @@
                 self._is_ended = not data
         except TimeoutError as error:
             raise self._error(f"was silent for {timeout_s:.2f} s") from error
+        except FramingSizeError as error:
+            reason = f"broke off its answer: {error!r}"
+            raise self._error(reason, fault=UNBOUNDED_FAULT) from error
         except (ChunkError, *CONNECTION_ERRORS) as error:
             outcome = Outcome.CANCELLED if self._is_aborted else _find_outcome(error)
             raise self._error(f"broke off its answer: {error!r}", outcome=outcome) from error
@@ -541,6 +559,13 @@
     return Outcome.BROKEN if is_silent or is_unreachable else Outcome.CRASHED
 
 
+def _is_head_unbounded(error: Exception) -> bool:
+    """Return whether a head exceeds a limit on its bytes, lines or headers."""
+    # http.client has no class of its own for too many headers.
+    limits = (TooManyBytesError, http.client.LineTooLong)
+    return isinstance(error, limits) or type(error) is http.client.HTTPException
+
+
 def _parse_load(text: str) -> tuple[int, int] | None:
     counts = [parse_count(part.strip()) for part in text.split(",")[:2]]
     return None if len(counts) < 2 or None in counts else (counts[0], counts[1])
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -18,6 +18,7 @@
 from catkinhook.errors import EngineError, Ran
 from catkinhook.httpheads import CheckedResponse, is_delimited
 from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError
+from catkinhook.requests.memorybudget import HeldBody, MemoryBudget, MemoryLimitError
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.state.views import EndpointView
 from catkinhook.units import KIB, MIB
@@ -52,6 +53,8 @@
 # Faults of attempts whose endpoint got no byte of the request.
 DOWN_FAULT = "down"
 UNAVAILABLE_FAULT = "unavailable"
+# Fault of an answer with more bytes than an answer may have, or than the process can hold.
+UNBOUNDED_FAULT = "unbounded"
 
 _BODILESS_STATUS = frozenset({204, 304})
 
@@ -90,6 +93,10 @@
     headers: dict[str, str]
 
 
+class TooManyBytesError(ConnectionAbortedError):
+    """An answer has more bytes than it may have."""
+
+
 class BoundedReader(io.RawIOBase):
     """Raw stream over a socket with limits on the number of bytes and the total time."""
 
@@ -110,11 +117,11 @@
     def readinto(self, buffer: bytearray) -> int:
         """Read once.
 
-        :raises ConnectionAbortedError: if the limit on bytes is reached.
+        :raises TooManyBytesError: if the limit on bytes is reached.
         :raises TimeoutError: if the time limit is reached.
         """
         if self._remaining <= 0:
-            raise ConnectionAbortedError("more bytes came than may")
+            raise TooManyBytesError("more bytes came than may")
         seconds = self._deadline - time.monotonic()
         if seconds <= 0:
             raise TimeoutError("the time is over")
@@ -327,6 +334,7 @@
 
     :param attempt_id: sent as ``X-Request-Id``, which the endpoint must echo.
     :param fresh: true to use a new connection.
+    :param memory: account of the bytes that requests hold, None for one without a limit.
     :ivar boot_id: boot id of the endpoint that received the request, empty if unknown.
     :ivar aborted: whether ``abort`` was called.
     """
@@ -338,7 +346,9 @@
         attempt_id: str,
         limits: AttemptLimits,
         fresh: bool = False,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory or MemoryBudget()
         self.attempt_id = attempt_id
         self.endpoint = endpoint
         self.boot_id = endpoint.boot_id
@@ -448,19 +458,28 @@
     def read_answer(self) -> bytes:
         """Return the rest of the answer.
 
-        :raises AttemptError: if it was truncated, exceeds the size limit, or has neither a content
-            length nor chunked coding, so that a truncation can't be detected.
+        :raises AttemptError: if it was truncated, exceeds the size limit or what the process can
+            hold, or has neither a content length nor chunked coding, so that a truncation can't be
+            detected.
         """
         if not self._has_framed_body():
             raise self._make_error("sent an answer whose end can't be told from a lost connection")
-        parts, size = [], 0
-        while part := self.read_some():
-            size += len(part)
-            if size > self._limits.max_answer:
-                raise self._make_error(f"sent more than {self._limits.max_answer} bytes")
-            parts.append(part)
+        limit = self._limits.max_answer
+        # An eviction needn't end a read: the gap timeout does, and nothing is held meanwhile.
+        held = HeldBody(self._memory, lambda: None)
+        with contextlib.closing(held):
+            try:
+                while part := self.read_some():
+                    held.append(part)
+                    if held.size > limit:
+                        reason = f"sent more than {limit} bytes"
+                        raise self._make_error(reason, fault=UNBOUNDED_FAULT)
+                body = b"".join(held)
+            except MemoryLimitError as error:
+                reason = "sent more bytes than this process can hold"
+                raise self._make_error(reason, fault=UNBOUNDED_FAULT) from error
         self.finish()
-        return b"".join(parts)
+        return body
 
     def finish(self) -> None:
         """Return the connection to the pool if the answer was read to its end."""
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -13,9 +13,19 @@
 from catkinhook.errors import Ran, Refusal
 from catkinhook.operations.decisionlog import DecisionLog
 from catkinhook.operations.hostmetrics import HostMetrics
-from catkinhook.requests.attempts import DOWN_FAULT, UNAVAILABLE_FAULT, AttemptError
+from catkinhook.requests.attempts import (
+    DOWN_FAULT,
+    UNAVAILABLE_FAULT,
+    UNBOUNDED_FAULT,
+    AttemptError,
+)
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
-from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
+from catkinhook.requests.eventsplitter import (
+    EventError,
+    EventOrderChecker,
+    EventSizeError,
+    EventSplitter,
+)
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
 from catkinhook.requests.memorybudget import (
     HeldBody,
@@ -57,8 +67,6 @@
 UNREACHED_FAULTS = frozenset({DOWN_FAULT, UNAVAILABLE_FAULT})
 # Fault of an answer whose events are incomplete or out of order.
 SEQUENCE_FAULT = "sequence"
-# Fault of an answer with more bytes than an answer may have, or than this process can hold.
-UNBOUNDED_FAULT = "unbounded"
 
 
 class UpstreamAnswer(Protocol):
@@ -68,6 +76,7 @@
     :ivar headers: headers for the caller.
     :ivar is_to_head: whether this answers a HEAD request and has no body.
     :ivar announced_length: length of the answer to GET that an answer to HEAD announces, if any.
+    :ivar length: length of the body that follows the head, None if the head doesn't state it.
     :ivar load: running and waiting requests of the endpoint, None if it did not report them.
     :ivar is_delimited: whether a length or chunks mark the end of the body; otherwise it ends with
         its connection.
@@ -77,6 +86,7 @@
     headers: tuple[tuple[str, str], ...]
     is_to_head: bool
     announced_length: int | None
+    length: int | None
     load: tuple[int, int] | None
     is_delimited: bool
 
@@ -304,14 +314,26 @@
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
 
-        :param fault: ``absent`` if the endpoint lacks the item, ``down`` if it can't be reached.
+        :param fault: ``absent`` if the endpoint lacks the item, ``down`` if it can't be reached,
+            ``UNBOUNDED_FAULT`` if it sent too many bytes.
         """
         with self._lock:
             self._job_by_attempt.pop(assignment.attempt, None)
         now = time.monotonic()
         is_absent, is_down = fault == "absent", fault == DOWN_FAULT
+        is_unbounded = fault == UNBOUNDED_FAULT
+        if is_unbounded and outcome is not Outcome.CANCELLED:
+            self._metrics.unbounded_answers.inc()
+            self._log.record(
+                "endpoint",
+                outcome="ejected: it sent more bytes than an answer may have",
+                endpoint=assignment.endpoint.endpoint,
+                address=assignment.endpoint.address,
+            )
         self._scheduler.tell(
-            lambda scheduler: scheduler.finish(assignment.attempt, outcome, now, is_absent, is_down)
+            lambda scheduler: scheduler.finish(
+                assignment.attempt, outcome, now, is_absent, is_down, is_unbounded
+            )
         )
 
     def record_crash(self, assignment: Assignment, has_started: bool) -> None:
@@ -638,6 +660,9 @@
         )
 
     def _read_complete_answer(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
+        if answer.length is not None and answer.length > MAX_ANSWER_BYTES:
+            reason = f"endpoint announced an answer of more than {MAX_ANSWER_BYTES} bytes"
+            raise AttemptError(STEP, assignment.endpoint.endpoint, reason, Ran.UNKNOWN)
         body = HeldBody(self._forwarder.memory, answer.abort)
         try:
             with self._memory_errors(assignment, body):
@@ -735,8 +760,9 @@
                 # Streams have no end marker, so an empty one can't be told from a complete one.
                 raise EventError("the stream ended without an event")
         except EventError as error:
+            fault = UNBOUNDED_FAULT if isinstance(error, EventSizeError) else SEQUENCE_FAULT
             raise AttemptError(
-                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault=SEQUENCE_FAULT
+                STEP, assignment.endpoint.endpoint, str(error), Ran.UNKNOWN, fault=fault
             ) from error
 
     def _accept(self, blocks: list[bytes]) -> tuple[bytes, int, EventError | None]:
