Count the retries of a host by cause, and log when their budget is used up

The counter names service, cause and result; the log line has the balance and the number of hosts, once for each change of state and at most once a second beside.

--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -21,6 +21,12 @@
         self.failed_attempts = Counter(
             "failed_attempts", "Attempts that failed, by outcome.", ("service", "outcome"), **common
         )
+        self.retries = Counter(
+            "retries",
+            "Further attempts that were granted or denied, by cause.",
+            ("service", "cause", "result"),
+            **common,
+        )
         self.unanswered = Counter(
             "unanswered_requests",
             "Whole requests whose connection ended without a complete answer.",
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -18,6 +18,7 @@
 from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
 from catkinhook.requests.outcomes import Outcome
+from catkinhook.requests.retrycounts import RetryBudgetState, RetryCause, RetryCounts
 from catkinhook.requests.routedrequest import (
     Assignment,
     AttemptProgress,
@@ -157,6 +158,7 @@
         self._monitor = monitor
         self._metrics = metrics
         self._log = log
+        self._retry_counts = RetryCounts(metrics, log)
         self._on_waiting = on_waiting
         self._on_crash = on_crash
         self._lock = threading.Lock()
@@ -204,6 +206,7 @@
         request, now = job.request, time.monotonic()
 
         requested: list[PendingRequest] = []
+        budget_states: list[RetryBudgetState] = []
 
         def submit(scheduler: Scheduler) -> PendingRequest | None:
             if job.attempts_sent == 0:
@@ -217,6 +220,7 @@
                     now,
                     job.has_reached_endpoint,
                 )
+                budget_states.append(scheduler.retry_budget_state(request.service, now))
             if pending is not None:
                 requested.append(pending)
             return pending
@@ -226,6 +230,9 @@
         except pykka.Timeout:
             self._withdraw(requested, decisions)
             return self._make_stuck_refusal(job)
+        for state in budget_states:
+            is_granted = pending is not None
+            self._retry_counts.record(request.service, job.retry_cause, is_granted, state)
         if pending is None:
             return None
         if not decided.is_set():
@@ -273,19 +280,25 @@
     def try_move(self, job: "_Job") -> Assignment | None:
         """Assign a request to another endpoint if it can start there at once."""
         now = time.monotonic()
+        service = job.request.service
         moved: list[Assignment] = []
+        budget_states: list[RetryBudgetState] = []
 
         def move(scheduler: Scheduler) -> Assignment | None:
             assignment = scheduler.try_move(job.request, job.tried_endpoints, now)
             if assignment is not None:
                 moved.append(assignment)
+                budget_states.append(scheduler.retry_budget_state(service, now))
             return assignment
 
         try:
-            return self._scheduler.ask(move)
+            assignment = self._scheduler.ask(move)
         except pykka.Timeout:
             self._withdraw([], moved)
             return None
+        for state in budget_states:
+            self._retry_counts.record(service, RetryCause.MOVED, True, state)
+        return assignment
 
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
@@ -406,6 +419,7 @@
     :ivar tried_endpoints: ids of the endpoints of all attempts, for exclusion.
     :ivar endpoints: the same ids in the order of the attempts, for the log.
     :ivar has_reached_endpoint: whether an attempt reached an endpoint.
+    :ivar retry_cause: why the request needs another attempt, once an attempt has failed.
     :ivar attempts_run: number of failed attempts that may have run.
     :ivar progress: how much of the answer to the latest attempt has arrived.
     :ivar ran: whether an endpoint ran the request.
@@ -430,6 +444,7 @@
         self.endpoints: list[str] = []
         self.attempts_sent = 0
         self.has_reached_endpoint = False
+        self.retry_cause = RetryCause.NOT_REACHED
         self.attempts_run = 0
         self.progress = AttemptProgress.NONE
         self.ran = Ran.NO
@@ -781,6 +796,7 @@
             raise CallerDisconnectedError("the caller disconnected") from error
         if error.ran is not Ran.NO or error.fault != "down":
             self.has_reached_endpoint = True
+        self.retry_cause = self._find_retry_cause(error)
         if error.ran is not Ran.NO:
             self.ran = Ran.UNKNOWN
             self.attempts_run += 1
@@ -790,6 +806,13 @@
             self._forwarder.record_crash(assignment, has_started)
         self._forwarder.finish(assignment, error.outcome, error.fault)
 
+    def _find_retry_cause(self, error: AttemptError) -> RetryCause:
+        if not self.has_reached_endpoint:
+            return RetryCause.NOT_REACHED
+        if self.first_received_at is not None:
+            return RetryCause.RESUMED
+        return RetryCause.REFUSED if error.ran is Ran.NO else RetryCause.BROKEN
+
     def _has_crashed_endpoint(self, assignment: Assignment, error: AttemptError) -> bool:
         """Return whether an endpoint crashed under a prompt that it had not begun to answer.
 
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -19,6 +19,7 @@
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.partquarantine import PartQuarantine, Quarantine
 from catkinhook.requests.prefixes import PrefixIndex
+from catkinhook.requests.retrycounts import RetryBudgetState
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import RouteTable
 from catkinhook.requests.suspects import EventKind, Suspects, SuspectStatus
@@ -267,6 +268,11 @@
         budget.try_withdraw(self.host_count, now)
         return decision
 
+    def retry_budget_state(self, service: str, now: float) -> RetryBudgetState:
+        """Return the retry budget of a service."""
+        balance = self._retry_budget(service).balance(self.host_count, now)
+        return RetryBudgetState(balance, self.host_count)
+
     def cancel(self, pending: PendingRequest) -> None:
         """Remove a queued request, for example because its caller disconnected."""
         if pending in self._queue:
--- a/catkinhook/requests/retries.py
+++ b/catkinhook/requests/retries.py
@@ -152,6 +152,13 @@
     def may_withdraw(self, host_count: int, now: float) -> bool:
         """Return whether the budget permits a retry.
 
+        :param host_count: number of hosts among which the slack is divided.
+        """
+        return self.balance(host_count, now) >= 1.0
+
+    def balance(self, host_count: int, now: float) -> float:
+        """Return the number of retries that the budget permits now.
+
         :param host_count: number of hosts among which the slack is divided.
         """
         self._prune(now)
@@ -162,7 +169,7 @@
         allowed = self.share * min(len(self._requests), recent)
         warmup = min(1.0, (now - self.started_at) / self.window_s)
         slack = warmup * self.slack * SLACK_SHARE / max(1, host_count)
-        return len(self._retries) + 1 <= allowed + slack
+        return allowed + slack - len(self._retries)
 
     def _prune(self, now: float) -> None:
         for times in (self._requests, self._retries):
