Start the retry budget of a process empty, so that restarts spend none again

Cause: the window of retries is memory of one process. A process could spend all of its window in a burst, was killed, and its successor had a growing slack and the whole share again. A retry was charged when it was queued, and could arrive windows later.

Now each service has a bucket, which starts empty: the share of each request is added, and half of the host's part of the slack is refilled over a window. All processes of a host together send at most capacity + refill + share in any window, however often it restarts. The number of hosts is unknown until two exchange intervals after the first view, when only shares count; later it is the largest of the last window. A retry is reserved when it is queued, counts towards the capacity until it is sent, and is given back otherwise.

Changed tests: test_hostscheduler tells the scheduler that there is one host, which was assumed. The test of the restarted host asked for 30 retries at once 20 s after a restart; it now asks for 30 to 50 within one window, 11 s after it. It also counts retries that are sent, as queued ones may be given back. HostCase waits until the host may retry, which takes about a second.

--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -64,8 +64,8 @@
 # Maximum age of evidence about prompt parts in messages. It spans several exchanges, of which some
 # may fail.
 PART_EVENT_RESEND_S = 10.0
-# Number of hosts that is assumed until the first view is received.
-MIN_HOSTS = 1
+# Exchange intervals within which all hosts report to a new holder, if one exchange may fail.
+SETTLE_INTERVALS = 2
 
 
 class EndpointMerger:
@@ -411,12 +411,13 @@
             is_newer = self._view_received_at > self._entries_received_at
             holdings = self._holding_by_id.values() if is_recent or is_newer else ()
             endpoints = self._endpoint_merger.merge(self._endpoint_by_id, holdings)
-        host_count = max(MIN_HOSTS, len(self._host_addresses))
+        host_count = len(self._host_addresses)
         now = time.monotonic()
 
         def update(scheduler: Scheduler) -> None:
-            scheduler.host_count = host_count
             if view is not None:
+                settle_s = SETTLE_INTERVALS * exchange_interval(host_count)
+                scheduler.record_host_count(max(1, host_count), settle_s, now)
                 for endpoint in endpoints:
                     scheduler.record_load(endpoint, view.running_by_id.get(endpoint, 0), 0, now)
                 scheduler.set_forecast(view.wait_by_item, now)
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -809,8 +809,10 @@
     def _find_retry_cause(self, error: AttemptError) -> RetryCause:
         if not self.has_reached_endpoint:
             return RetryCause.NOT_REACHED
-        if self.first_received_at is not None:
+        if self.first_received_at is not None and self.request.route.is_stream:
             return RetryCause.RESUMED
+        if error.outcome is Outcome.FAILED:
+            return RetryCause.FAILED
         return RetryCause.REFUSED if error.ran is Ran.NO else RetryCause.BROKEN
 
     def _has_crashed_endpoint(self, assignment: Assignment, error: AttemptError) -> bool:
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -16,6 +16,7 @@
 from catkinhook.requests.demand import ItemDemand
 from catkinhook.requests.endpointindex import EndpointIndex
 from catkinhook.requests.estimates import DecayingMean, Estimates
+from catkinhook.requests.hostretries import HostCount, RetryBucket
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.partquarantine import PartQuarantine, Quarantine
 from catkinhook.requests.prefixes import PrefixIndex
@@ -69,6 +70,7 @@
     :ivar exclude: endpoints that earlier attempts used.
     :ivar queued_at: time at which this attempt was queued.
     :ivar ran: whether an earlier attempt may have run.
+    :ivar is_charged: whether a retry is reserved for this attempt.
     """
 
     request: RoutedRequest
@@ -76,6 +78,7 @@
     on_decision: Callable[[Decision], None]
     queued_at: float
     ran: Ran = Ran.NO
+    is_charged: bool = False
 
 
 @attrs.define
@@ -126,7 +129,6 @@
     :param on_quarantine: called with a quarantine of prompt parts that changed, what happened and
         the time.
     :param may_probe: returns whether this host may send a request with a quarantined part now.
-    :ivar host_count: number of hosts that share the retry budget.
     :ivar suspects: events about requests that may crash endpoints, exchanged between hosts.
     :ivar parts: quarantine of prompt parts that crash engines, exchanged between hosts.
     """
@@ -156,7 +158,8 @@
         self._forecast_at: float | None = None
         self._absent_until: dict[tuple[str, str], float] = {}
         self._down_until: dict[str, float] = {}
-        self._retry_budget_by_service: dict[str, retries.WindowedRetryBudget] = {}
+        self._retries_by_service: dict[str, RetryBucket] = {}
+        self._host_count = HostCount(bounds.retry_window_s)
         self._interval_by_service: dict[str, _CompletionInterval] = {}
         self._estimates = Estimates()
         self._events_by_route: dict[str, DecayingMean] = {}
@@ -165,7 +168,6 @@
         self._next_attempt = 1
         self._is_stopping = False
         self._started_at = started_at
-        self.host_count = 1
         self.suspects = Suspects(origin)
         self.parts = PartQuarantine(on_quarantine, may_probe)
 
@@ -215,6 +217,13 @@
         """Record the present load of an endpoint over all hosts."""
         self._load(endpoint).apply_report(LoadReport(running, waiting, 0.0, now))
 
+    def record_host_count(self, count: int, settle_s: float, now: float) -> None:
+        """Record the number of hosts that share the retry budget.
+
+        :param settle_s: time in seconds within which this many hosts report to a new holder.
+        """
+        self._host_count.record(count, settle_s, now)
+
     # Requests.
 
     def submit(
@@ -222,7 +231,7 @@
     ) -> PendingRequest:
         """Queue a new request; ``on_decision`` may be called before this returns."""
         self._demand(request).count_request(now)
-        self._retry_budget(request.service).record_request(now)
+        self._retries(request.service).record_request(self._host_count.get(now), now)
         return self._enqueue(PendingRequest(request, frozenset(), on_decision, now), now)
 
     def resubmit(
@@ -239,15 +248,14 @@
         :param exclude: endpoints that earlier attempts used.
         :param ran: whether an earlier attempt may have run.
         :param has_reached_endpoint: whether an earlier attempt reached an endpoint. If none did,
-            the retry does not count against the retry budget.
+            the retry does not count against the retry budget. Otherwise, it does once it is sent.
         """
         if ran is not Ran.NO and not request.is_repeatable:
             return None
-        if has_reached_endpoint and not self._retry_budget(request.service).try_withdraw(
-            self.host_count, now
-        ):
+        if has_reached_endpoint and not self._try_reserve_retry(request.service, now):
             return None
-        return self._enqueue(PendingRequest(request, exclude, on_decision, now, ran), now)
+        pending = PendingRequest(request, exclude, on_decision, now, ran, has_reached_endpoint)
+        return self._enqueue(pending, now)
 
     def try_move(
         self, request: RoutedRequest, exclude: frozenset[str], now: float
@@ -258,25 +266,24 @@
 
         :param exclude: endpoints that earlier attempts used.
         """
-        budget = self._retry_budget(request.service)
-        if not request.is_repeatable or not budget.may_withdraw(self.host_count, now):
+        if not request.is_repeatable or not self._try_reserve_retry(request.service, now):
             return None
-        moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN)
+        moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN, True)
         decision = self._decide_quarantined(moved, now) or self._try_assign(moved, now)
-        if not isinstance(decision, Assignment):
-            return None
-        budget.try_withdraw(self.host_count, now)
-        return decision
+        is_sent = isinstance(decision, Assignment)
+        self._settle_retry(moved, is_sent)
+        return decision if is_sent else None
 
     def retry_budget_state(self, service: str, now: float) -> RetryBudgetState:
         """Return the retry budget of a service."""
-        balance = self._retry_budget(service).balance(self.host_count, now)
-        return RetryBudgetState(balance, self.host_count)
+        hosts = self._host_count.get(now)
+        return RetryBudgetState(self._retries(service).balance(hosts, now), hosts)
 
     def cancel(self, pending: PendingRequest) -> None:
         """Remove a queued request, for example because its caller disconnected."""
         if pending in self._queue:
             self._queue.remove(pending)
+            self._settle_retry(pending, is_sent=False)
 
     def dispatch_waiting(self, now: float) -> None:
         """Assign queued requests to endpoints, and refuse those that can't start in time."""
@@ -301,6 +308,7 @@
                 queued_by_service[pending.request.service] = queued_ahead + 1
                 remaining.append(pending)
             else:
+                self._settle_retry(pending, isinstance(decision, Assignment))
                 pending.on_decision(decision)
         self._queue = remaining
 
@@ -678,15 +686,27 @@
     def _demand(self, request: RoutedRequest) -> ItemDemand:
         return self._demand_by_item.setdefault((request.service, request.item), ItemDemand())
 
-    def _retry_budget(self, service: str) -> retries.WindowedRetryBudget:
+    def _retries(self, service: str) -> RetryBucket:
         bounds = self._bounds
-        return self._retry_budget_by_service.setdefault(
+        return self._retries_by_service.setdefault(
             service,
-            retries.WindowedRetryBudget(
+            RetryBucket(
                 bounds.retry_window_s, bounds.retry_share, bounds.retry_slack, self._started_at
             ),
         )
 
+    def _try_reserve_retry(self, service: str, now: float) -> bool:
+        return self._retries(service).try_reserve(self._host_count.get(now), now)
+
+    def _settle_retry(self, pending: PendingRequest, is_sent: bool) -> None:
+        if not pending.is_charged:
+            return
+        bucket = self._retries(pending.request.service)
+        if is_sent:
+            bucket.spend()
+        else:
+            bucket.give_back()
+
 
 def engine_priority(request: RoutedRequest) -> int:
     """Return the priority for the engine, from 0 for the most urgent requests to 9.
--- a/catkinhook/requests/retries.py
+++ b/catkinhook/requests/retries.py
@@ -1,7 +1,6 @@
 """Retry budgets, backoff and outlier ejection of endpoints."""
 
 import random
-from collections import deque
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
@@ -16,9 +15,6 @@
 BACKOFF_MAX_S = 1.0
 JITTER_RANGE = (0.5, 1.5)
 
-# Share of the slack that the current hosts use; the rest is reserved for a host that joins.
-SLACK_SHARE = 0.8
-
 FAILURES_TO_EJECT = 3
 EJECTION_BASE_S = 2.0
 EJECTION_MAX_S = 60.0
@@ -111,67 +107,3 @@
     if healthy or not candidates:
         return healthy
     return [min(candidates, key=ejection_end)]
-
-
-@attrs.define
-class WindowedRetryBudget:
-    """Retry budget of one service on this host, over a sliding window.
-
-    The bound applies to all hosts together, so each host uses the share of its own requests and
-    an equal part of the slack.
-
-    :ivar window_s: length of the window in seconds.
-    :ivar share: permitted retries as a share of the requests in the window.
-    :ivar slack: further retries permitted in each window, over all hosts.
-    :ivar started_at: start of this process. The previous process of this host may have used its
-        part of the slack, so the part grows from 0 over the first window after the start.
-    """
-
-    window_s: float
-    share: float
-    slack: float
-    started_at: float = float("-inf")
-    _requests: deque[float] = attrs.Factory(deque)
-    _retries: deque[float] = attrs.Factory(deque)
-
-    def record_request(self, now: float) -> None:
-        """Count a request."""
-        self._requests.append(now)
-        self._prune(now)
-
-    def try_withdraw(self, host_count: int, now: float) -> bool:
-        """Withdraw one retry from the budget, or return False if it is used up.
-
-        :param host_count: number of hosts among which the slack is divided.
-        """
-        if not self.may_withdraw(host_count, now):
-            return False
-        self._retries.append(now)
-        return True
-
-    def may_withdraw(self, host_count: int, now: float) -> bool:
-        """Return whether the budget permits a retry.
-
-        :param host_count: number of hosts among which the slack is divided.
-        """
-        return self.balance(host_count, now) >= 1.0
-
-    def balance(self, host_count: int, now: float) -> float:
-        """Return the number of retries that the budget permits now.
-
-        :param host_count: number of hosts among which the slack is divided.
-        """
-        self._prune(now)
-        # The bound must also hold right after a drop of the request rate, so at most twice the
-        # requests of the last half window count.
-        half = now - self.window_s / 2
-        recent = 2 * sum(at > half for at in self._requests)
-        allowed = self.share * min(len(self._requests), recent)
-        warmup = min(1.0, (now - self.started_at) / self.window_s)
-        slack = warmup * self.slack * SLACK_SHARE / max(1, host_count)
-        return allowed + slack - len(self._retries)
-
-    def _prune(self, now: float) -> None:
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now - self.window_s:
-                times.popleft()
--- a/catkinhook/requests/retrycounts.py
+++ b/catkinhook/requests/retrycounts.py
@@ -20,6 +20,7 @@
 
     NOT_REACHED = "not reached"  # no attempt has reached an endpoint, so the retry is free
     REFUSED = "refused"  # the endpoint stated that it did not run the request
+    FAILED = "failed"  # the endpoint ran the request and answered with an error
     BROKEN = "broken"  # the attempt may have run and ended before the first event
     RESUMED = "resumed"  # the stream ended after the caller had received events
     MOVED = "moved"  # the request left a silent endpoint
--- a/tests/hostcase.py
+++ b/tests/hostcase.py
@@ -14,6 +14,8 @@
 from tests.platform_fakes import FakeEndpoint, FakeStore, make_configuration
 
 WAIT_S = 10.0
+# Retries that the host may send when a test begins.
+RETRIES_AT_START = 2.0
 HOST_PORTS = (15_000, 32_000)
 REQUEST_ID = "9c41d07be2a35f68"
 
@@ -86,6 +88,15 @@
         self.addCleanup(self.check_no_unhandled_error)
         wait_until(lambda: not self.host.state.explain_unready())
         wait_until(lambda: self.host.lease.is_held())
+        wait_until(self.has_retry_budget)
+
+    def has_retry_budget(self) -> bool:
+        """Return whether the host may retry requests, which it may not right after its start."""
+        now = time.monotonic()
+        states = self.host._scheduler.ask(
+            lambda scheduler: [scheduler.retry_budget_state(name, now) for name in ("llm", "desk")]
+        )
+        return all(state.balance >= RETRIES_AT_START for state in states)
 
     def check_no_unhandled_error(self) -> None:
         """Check that the host had no unhandled error, which callers would see as a 500."""
--- a/tests/test_hostscheduler.py
+++ b/tests/test_hostscheduler.py
@@ -47,6 +47,7 @@
         self.now = 100.0
         bounds = Bounds(retry_share=0.2, retry_slack=10.0)
         self.scheduler = Scheduler("z1", "host/1", bounds, random.Random(1))
+        self.scheduler.record_host_count(1, 0.0, self.now)
         spec = EngineSpec(
             slots=SLOTS, cache_tokens=10_000, memory_mb=200, adapter_slots=2, loads_per_s=1
         )
@@ -243,7 +244,7 @@
 
     def test_retries_stay_within_the_budget_of_all_hosts(self) -> None:
         """Guards against a retry storm to which each of eight hosts adds its retries."""
-        self.scheduler.host_count = 4
+        self.scheduler.record_host_count(4, 0.0, self.now)
         request = self.make_request("r")
         results = [
             self.scheduler.resubmit(request, frozenset(), Ran.NO, lambda d: None, self.now)
@@ -262,16 +263,27 @@
         request = self.make_request("r")
 
         def resubmit_all() -> int:
-            results = [
-                self.scheduler.resubmit(request, frozenset(), Ran.NO, lambda d: None, self.now)
-                for _ in range(60)
-            ]
-            return sum(pending is not None for pending in results)
+            sent = 0
+            for _ in range(60):
+                decisions: list[Decision] = []
+                self.scheduler.resubmit(request, frozenset(), Ran.NO, decisions.append, self.now)
+                for decision in decisions:
+                    sent += 1
+                    self.scheduler.finish(decision.attempt, Outcome.CANCELLED, self.now)
+            return sent
 
+        self.scheduler.set_endpoints(self.views, self.now)
+        self.scheduler.record_host_count(1, 0.0, self.now)
         self.now += 1.0
         self.assertLessEqual(resubmit_all(), 50.0 / bounds.retry_window_s)
-        self.now += 2 * bounds.retry_window_s
-        self.assertGreaterEqual(resubmit_all(), 30)
+        self.now += bounds.retry_window_s
+        # The slack is spread over the window, so that a restart within it can't spend it again.
+        granted = 0
+        for _ in range(10):
+            self.now += bounds.retry_window_s / 10
+            granted += resubmit_all()
+        self.assertGreaterEqual(granted, 30)
+        self.assertLessEqual(granted, 50)
 
     def test_refused_connections_do_not_use_the_budget(self) -> None:
         """Guards against refusals of requests whose engine had crashed before they reached it.
