Pause before a request is repeated at an endpoint that refused it

A request went to endpoints that had just refused it: six attempts within 25 ms, each refused, while callers of other requests were told that the retry budget was used up.

Cause: a request that all endpoints with its item had refused went to one of them again at once, and nothing but ejection, which ends with the first of the next requests, told that an endpoint refuses everything.

A repeat is now sent to an endpoint that refused the same request 0.15 s later at the earliest, and waits for that in the queue. An endpoint that refused three requests in a row gets no repeats for 0.5 s; if no other endpoint has the item, the repeat is refused at once with Retry-After. First attempts go there as before: they are free of the budget and show when it accepts requests again. A repeat that has to wait no longer keeps first attempts with the same item in the queue.

Two of the four tests failed before: one endpoint got three attempts at once, and a late request six instead of one.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -18,6 +18,7 @@
 from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
 from catkinhook.requests.outcomes import Outcome
+from catkinhook.requests.refusals import REPEAT_PAUSE_S
 from catkinhook.requests.retrycounts import RetryBudgetState, RetryCause, RetryCounts
 from catkinhook.requests.routedrequest import (
     Assignment,
@@ -240,6 +241,9 @@
             self._monitor.add(job.key, job.is_disconnected, job.abort)
             job.on_disconnect = decided.set
             time_left_s = max(0.0, request.caller_deadline() - time.monotonic())
+            if job.attempts_sent and not decided.wait(REPEAT_PAUSE_S):
+                # The pause after a refusal is over, and nothing else may wake the scheduler.
+                self._scheduler.tell(lambda scheduler: scheduler.dispatch_waiting(time.monotonic()))
             decided.wait(time_left_s + DECISION_GRACE_S)
             self._monitor.remove(job.key)
             job.on_disconnect = None
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -20,6 +20,7 @@
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.partquarantine import PartQuarantine, Quarantine
 from catkinhook.requests.prefixes import PrefixIndex
+from catkinhook.requests.refusals import AVOID_S, RefusingEndpoints
 from catkinhook.requests.retrycounts import RetryBudgetState
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import RouteTable
@@ -160,6 +161,7 @@
         self._down_until: dict[str, float] = {}
         self._retries_by_service: dict[str, RetryBucket] = {}
         self._host_count = HostCount(bounds.retry_window_s)
+        self._refusing = RefusingEndpoints()
         self._interval_by_service: dict[str, _CompletionInterval] = {}
         self._estimates = Estimates()
         self._events_by_route: dict[str, DecayingMean] = {}
@@ -187,12 +189,14 @@
             if previous is not None and previous.boot_id != view.boot_id:
                 self._prefixes.remove(endpoint)
                 self._ejections.reset(endpoint)
+                self._refusing.remove(endpoint)
                 self._down_until.pop(endpoint, None)
         removed = set(self._endpoint_by_id) - set(endpoint_by_id)
         for endpoint in removed:
             self._prefixes.remove(endpoint)
             self._load_by_id.pop(endpoint, None)
             self._reserved_tokens_by_id.pop(endpoint, None)
+            self._refusing.remove(endpoint)
             self._down_until.pop(endpoint, None)
         self._estimates.remove(removed)
         self._endpoint_by_id = dict(endpoint_by_id)
@@ -299,9 +303,10 @@
             decision = self._decide_quarantined(pending, now)
             # Excluded endpoints differ between requests, so only first attempts share a result.
             if decision is None and (key not in blocked_items or pending.exclude):
-                decision = self._try_assign(pending, now)
+                decision = self._try_assign(pending, now) or self._refuse_repeat(pending, now)
             if decision is None:
-                blocked_items.add(key)
+                if not pending.exclude:
+                    blocked_items.add(key)
                 queued_ahead = queued_by_service.get(pending.request.service, 0)
                 decision = self._refuse_if_too_late(pending, queued_ahead, now)
             if decision is None:
@@ -323,6 +328,7 @@
             return
         state.first_event_at = state.observed_at = now
         request = state.request
+        self._refusing.record_answer(state.endpoint, state.started_at)
         if is_success:
             self.parts.record_answer(request.units, now)
         if request.item:
@@ -406,6 +412,8 @@
             if self.suspects.status(request.fingerprint, now) is not SuspectStatus.HARMLESS:
                 self.suspects.record(EventKind.CLEAR, request.fingerprint, request.model, now)
         elif outcome is not Outcome.CANCELLED:
+            if outcome is Outcome.NOT_RUN and not is_down:
+                self._refusing.record_refusal(endpoint, now)
             self._ejections.record_failure(endpoint, outcome is Outcome.CRASHED, now)
         # A refused connection carried no request, so the request can't have crashed the endpoint.
         is_crash = outcome is Outcome.CRASHED and state.first_event_at is None and not is_down
@@ -519,6 +527,12 @@
         untried = [view for view in resident if view.endpoint not in pending.exclude]
         if not untried and pending.ran is Ran.NO:
             untried = resident
+        if pending.is_charged:
+            untried = [
+                view
+                for view in untried
+                if self._refusing.may_repeat(view.endpoint, view.endpoint in pending.exclude, now)
+            ]
         available = [view for view in untried if self._has_capacity(view, request)]
         # An ejected endpoint with spare capacity is preferred to queueing for a full one.
         return retries.exclude_ejected(
@@ -636,6 +650,28 @@
         status = _refusal_status(pending.ran)
         return Refusal(STEP, "", reason, "no-capacity", status, pending.ran, retry_after_s)
 
+    def _refuse_repeat(self, pending: PendingRequest, now: float) -> Refusal | None:
+        """Refuse a repeat if each endpoint that could take it refuses all requests.
+
+        The caller may return without spending the retry budget, and reach another host.
+        """
+        request = pending.request
+        avoided_until_by_id = {
+            endpoint: self._refusing.avoided_until(endpoint)
+            for endpoint in self._find_reachable(request.service, request.item, now)
+            if pending.ran is Ran.NO or endpoint not in pending.exclude
+        }
+        ready_at = min(avoided_until_by_id.values(), default=0.0)
+        if not pending.is_charged or ready_at <= now:
+            return None
+        endpoints = ", ".join(sorted(avoided_until_by_id)[:MAX_EXPLAINED_ENDPOINTS])
+        reason = f"all endpoints of {request.item or request.service} refuse requests: {endpoints}"
+        retry_after_s = max(AVOID_S, ready_at - now)
+        retry_after_s *= 1.0 + RETRY_AFTER_JITTER_RATIO * self._rng.random()
+        self._demand(request).count_unmet(now)
+        status = _refusal_status(pending.ran)
+        return Refusal(STEP, "", reason, "no-capacity", status, pending.ran, retry_after_s)
+
     def _predict_start(self, pending: PendingRequest, queued_ahead: int, now: float) -> float:
         """Return the predicted start of a queued request."""
         request = pending.request
--- a/tests/test_retries_over_restarts.py
+++ b/tests/test_retries_over_restarts.py
@@ -7,10 +7,11 @@
 
 import attrs
 
-from catkinhook.errors import Ran
+from catkinhook.errors import Ran, Refusal
 from catkinhook.hostsettings import Bounds
 from catkinhook.requests.hostretries import HostCount
 from catkinhook.requests.hostscheduler import Scheduler
+from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import RetryMode, Route, RouteTable, ServiceSpec
 from catkinhook.state.views import EndpointView
@@ -335,3 +336,87 @@
             count.record(3, 0.0, float(second))
         self.assertEqual(count.get(9.9), 8)
         self.assertEqual(count.get(12.0), 3)
+
+
+class RepeatTest(unittest.TestCase):
+    """Repeats at endpoints that refuse requests."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        bounds = Bounds(retry_share=0.2, retry_slack=1000.0)
+        self.scheduler = Scheduler("z1", "host/1", bounds, random.Random(1))
+        self.scheduler.record_host_count(1, 0.0, self.now)
+        spec = ServiceSpec(name=SERVICE, max_connections=9, engine=None)
+        self.scheduler.set_table(RouteTable(version=1, routes=(), service_by_name={SERVICE: spec}))
+        views = {name: make_view(name) for name in ("e1", "e2", "e3")}
+        self.scheduler.set_endpoints(views, self.now)
+        self.tried: frozenset[str] = frozenset()
+        self.decisions: list[Decision] = []
+
+    def make_request(self, name: str) -> RoutedRequest:
+        """Return a request that arrives now."""
+        return RoutedRequest(
+            request_id=name,
+            service=SERVICE,
+            route=ROUTE,
+            arrived=self.now,
+            deadline=self.now + ROUTE.timeout_s,
+        )
+
+    def run_refused(self, name: str, attempts: int = 6) -> list[str]:
+        """Run a request that each endpoint refuses, and return the endpoints that it reached."""
+        request = self.make_request(name)
+        reached: list[str] = []
+        decisions: list[Decision] = []
+        self.scheduler.submit(request, decisions.append, self.now)
+        while len(reached) < min(len(decisions), attempts):
+            assignment = decisions[-1]
+            if isinstance(assignment, Refusal):
+                break
+            reached.append(assignment.endpoint.endpoint)
+            self.now += 0.004
+            self.scheduler.finish(assignment.attempt, Outcome.NOT_RUN, self.now)
+            self.scheduler.resubmit(request, frozenset(reached), Ran.NO, decisions.append, self.now)
+        self.decisions = decisions
+        return reached
+
+    def test_request_is_not_repeated_where_it_was_just_refused(self) -> None:
+        """Guards against six attempts within 25 ms at three endpoints, each refused."""
+        self.assertEqual(sorted(self.run_refused("r1")), ["e1", "e2", "e3"])
+        self.assertEqual(len(self.decisions), 3)
+        self.now += 0.2
+        self.scheduler.dispatch_waiting(self.now)
+        self.assertIsInstance(self.decisions[-1], Assignment)
+
+    def test_endpoints_that_refuse_all_get_no_repeats(self) -> None:
+        """Guards against a budget that is spent at endpoints which refused others just before."""
+        for number in range(3):
+            self.run_refused(f"r{number}")
+        self.assertEqual(len(self.run_refused("late")), 1)
+        refusal = self.decisions[-1]
+        self.assertIsInstance(refusal, Refusal)
+        self.assertEqual((refusal.status, refusal.ran), (503, Ran.NO))
+        self.assertTrue(0.5 <= refusal.retry_after_s <= 1.0)
+
+    def test_endpoint_that_refuses_some_requests_gets_repeats(self) -> None:
+        """Guards against callers that are refused although a repeat is likely to be answered."""
+        for name in ("r1", "r2"):
+            self.run_refused(name, attempts=1)
+        decisions: list[Decision] = []
+        request = self.make_request("r3")
+        self.scheduler.resubmit(request, frozenset({"e1"}), Ran.NO, decisions.append, self.now)
+        self.assertIsInstance(decisions[0], Assignment)
+
+    def test_repeat_goes_to_an_endpoint_that_accepts_requests_again(self) -> None:
+        """Guards against an endpoint that is avoided after it has answered a request."""
+        for number in range(3):
+            self.run_refused(f"r{number}")
+        decisions: list[Decision] = []
+        self.scheduler.submit(self.make_request("ok"), decisions.append, self.now)
+        accepting = decisions[0].endpoint.endpoint
+        self.scheduler.record_first_event(decisions[0].attempt, self.now + 0.01)
+        self.now += 0.02
+        tried = frozenset({"e1", "e2", "e3"} - {accepting})
+        request = self.make_request("repeat")
+        self.scheduler.resubmit(request, tried, Ran.NO, decisions.append, self.now)
+        self.assertEqual(decisions[-1].endpoint.endpoint, accepting)
