--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -24,6 +24,12 @@
         self.unbounded_answers = Counter(
             "unbounded_answers", "Answers with more bytes than an answer may have.", **common
         )
+        self.retries = Counter(
+            "retries",
+            "Further attempts that were granted or denied, by cause.",
+            ("service", "cause", "result"),
+            **common,
+        )
         self.unanswered = Counter(
             "unanswered_requests",
             "Whole requests whose connection ended without a complete answer.",
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -34,6 +34,8 @@
     MemoryLimitError,
 )
 from catkinhook.requests.outcomes import Outcome
+from catkinhook.requests.refusals import REPEAT_PAUSE_S
+from catkinhook.requests.retrycounts import RetryBudgetState, RetryCause, RetryCounts
 from catkinhook.requests.routedrequest import (
     Assignment,
     AttemptProgress,
@@ -181,6 +183,7 @@
         self._monitor = monitor
         self._metrics = metrics
         self._log = log
+        self._retry_counts = RetryCounts(metrics, log)
         self._on_waiting = on_waiting
         self._on_crash = on_crash
         self._lock = threading.Lock()
@@ -228,6 +231,7 @@
         request, now = job.request, time.monotonic()
 
         requested: list[PendingRequest] = []
+        budget_states: list[RetryBudgetState] = []
 
         def submit(scheduler: Scheduler) -> PendingRequest | None:
             if job.attempts_sent == 0:
@@ -241,6 +245,7 @@
                     now,
                     job.has_reached_endpoint,
                 )
+                budget_states.append(scheduler.retry_budget_state(request.service, now))
             if pending is not None:
                 requested.append(pending)
             return pending
@@ -250,6 +255,9 @@
         except pykka.Timeout:
             self._withdraw(requested, decisions)
             return self._make_stuck_refusal(job)
+        for state in budget_states:
+            is_granted = pending is not None
+            self._retry_counts.record(request.service, job.retry_cause, is_granted, state)
         if pending is None:
             return None
         if not decided.is_set():
@@ -257,6 +265,9 @@
             self._monitor.add(job.key, job.is_disconnected, job.abort)
             job.on_disconnect = decided.set
             time_left_s = max(0.0, request.caller_deadline() - time.monotonic())
+            if job.attempts_sent and not decided.wait(REPEAT_PAUSE_S):
+                # The pause after a refusal is over, and nothing else may wake the scheduler.
+                self._scheduler.tell(lambda scheduler: scheduler.dispatch_waiting(time.monotonic()))
             decided.wait(time_left_s + DECISION_GRACE_S)
             self._monitor.remove(job.key)
             job.on_disconnect = None
@@ -297,19 +308,25 @@
     def try_move(self, job: "_Job") -> Assignment | None:
         """Assign a request to another endpoint if it can start there at once."""
         now = time.monotonic()
+        service = job.request.service
         moved: list[Assignment] = []
+        budget_states: list[RetryBudgetState] = []
 
         def move(scheduler: Scheduler) -> Assignment | None:
             assignment = scheduler.try_move(job.request, job.tried_endpoints, now)
             if assignment is not None:
                 moved.append(assignment)
+                budget_states.append(scheduler.retry_budget_state(service, now))
             return assignment
 
         try:
-            return self._scheduler.ask(move)
+            assignment = self._scheduler.ask(move)
         except pykka.Timeout:
             self._withdraw([], moved)
             return None
+        for state in budget_states:
+            self._retry_counts.record(service, RetryCause.MOVED, True, state)
+        return assignment
 
     def finish(self, assignment: Assignment, outcome: Outcome, fault: str = "") -> None:
         """End an attempt.
@@ -442,6 +459,7 @@
     :ivar tried_endpoints: ids of the endpoints of all attempts, for exclusion.
     :ivar endpoints: the same ids in the order of the attempts, for the log.
     :ivar has_reached_endpoint: whether an attempt reached an endpoint.
+    :ivar retry_cause: why the request needs another attempt, once an attempt has failed.
     :ivar attempts_run: number of failed attempts that may have run.
     :ivar progress: how much of the answer to the latest attempt has arrived.
     :ivar ran: whether an endpoint ran the request.
@@ -466,6 +484,7 @@
         self.endpoints: list[str] = []
         self.attempts_sent = 0
         self.has_reached_endpoint = False
+        self.retry_cause = RetryCause.NOT_REACHED
         self.attempts_run = 0
         self.progress = AttemptProgress.NONE
         self.ran = Ran.NO
@@ -854,6 +873,7 @@
             raise CallerDisconnectedError("the caller disconnected") from error
         if error.ran is not Ran.NO or error.fault not in UNREACHED_FAULTS:
             self.has_reached_endpoint = True
+        self.retry_cause = self._find_retry_cause(error)
         if error.ran is not Ran.NO:
             self.ran = Ran.UNKNOWN
             self.attempts_run += 1
@@ -863,6 +883,15 @@
             self._forwarder.record_crash(assignment, has_started)
         self._forwarder.finish(assignment, error.outcome, error.fault)
 
+    def _find_retry_cause(self, error: AttemptError) -> RetryCause:
+        if not self.has_reached_endpoint:
+            return RetryCause.NOT_REACHED
+        if self.first_received_at is not None and self.request.route.is_stream:
+            return RetryCause.RESUMED
+        if error.outcome is Outcome.FAILED:
+            return RetryCause.FAILED
+        return RetryCause.REFUSED if error.ran is Ran.NO else RetryCause.BROKEN
+
     def _has_crashed_endpoint(self, assignment: Assignment, error: AttemptError) -> bool:
         """Return whether an endpoint crashed under a prompt that it had not begun to answer.
 
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -22,9 +22,12 @@
 )
 from catkinhook.requests.endpointindex import EndpointIndex
 from catkinhook.requests.estimates import DecayingMean, Estimates
+from catkinhook.requests.hostretries import HostCount, RetryBucket
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.partquarantine import PartQuarantine, Quarantine
 from catkinhook.requests.prefixes import PrefixIndex
+from catkinhook.requests.refusals import AVOID_S, RefusingEndpoints
+from catkinhook.requests.retrycounts import RetryBudgetState
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import RouteTable
 from catkinhook.requests.suspects import EventKind, Suspects, SuspectStatus
@@ -79,6 +82,7 @@
     :ivar exclude: endpoints that earlier attempts used.
     :ivar queued_at: time at which this attempt was queued.
     :ivar ran: whether an earlier attempt may have run.
+    :ivar is_charged: whether a retry is reserved for this attempt.
     """
 
     request: RoutedRequest
@@ -86,6 +90,7 @@
     on_decision: Callable[[Decision], None]
     queued_at: float
     ran: Ran = Ran.NO
+    is_charged: bool = False
 
 
 @attrs.define
@@ -137,7 +142,6 @@
         the time.
     :param may_probe: returns whether this host may send a request with a quarantined part now.
     :param availability: endpoints that must get no requests.
-    :ivar host_count: number of hosts that share the retry budget.
     :ivar suspects: events about requests that may crash endpoints, exchanged between hosts.
     :ivar parts: quarantine of prompt parts that crash engines, exchanged between hosts.
     """
@@ -168,7 +172,9 @@
         self._forecast_at: float | None = None
         self._absent_until: dict[tuple[str, str], float] = {}
         self._down_until: dict[str, float] = {}
-        self._retry_budget_by_service: dict[str, retries.WindowedRetryBudget] = {}
+        self._retries_by_service: dict[str, RetryBucket] = {}
+        self._host_count = HostCount(bounds.retry_window_s)
+        self._refusing = RefusingEndpoints()
         self._interval_by_service: dict[str, _CompletionInterval] = {}
         self._estimates = Estimates()
         self._events_by_route: dict[str, DecayingMean] = {}
@@ -178,7 +184,6 @@
         self._next_attempt = 1
         self._is_stopping = False
         self._started_at = started_at
-        self.host_count = 1
         self.suspects = Suspects(origin)
         self.parts = PartQuarantine(on_quarantine, may_probe)
 
@@ -198,12 +203,14 @@
             if previous is not None and previous.boot_id != view.boot_id:
                 self._prefixes.remove(endpoint)
                 self._ejections.reset(endpoint)
+                self._refusing.remove(endpoint)
                 self._down_until.pop(endpoint, None)
         removed = set(self._endpoint_by_id) - set(endpoint_by_id)
         for endpoint in removed:
             self._prefixes.remove(endpoint)
             self._load_by_id.pop(endpoint, None)
             self._reserved_tokens_by_id.pop(endpoint, None)
+            self._refusing.remove(endpoint)
             self._down_until.pop(endpoint, None)
         self._estimates.remove(removed)
         self._endpoint_by_id = dict(endpoint_by_id)
@@ -240,6 +247,13 @@
             if view is not None and view.boot_id == leaving.boot_id:
                 self._availability.record_leaving(view, source, leaving.told_at, now)
 
+    def record_host_count(self, count: int, settle_s: float, now: float) -> None:
+        """Record the number of hosts that share the retry budget.
+
+        :param settle_s: time in seconds within which this many hosts report to a new holder.
+        """
+        self._host_count.record(count, settle_s, now)
+
     # Requests.
 
     def submit(
@@ -247,7 +261,7 @@
     ) -> PendingRequest:
         """Queue a new request; ``on_decision`` may be called before this returns."""
         self._demand(request).count_request(now)
-        self._retry_budget(request.service).record_request(now)
+        self._retries(request.service).record_request(self._host_count.get(now), now)
         return self._enqueue(PendingRequest(request, frozenset(), on_decision, now), now)
 
     def resubmit(
@@ -264,15 +278,16 @@
         :param exclude: endpoints that earlier attempts used.
         :param ran: whether an earlier attempt may have run.
         :param has_reached_endpoint: whether an earlier attempt reached an endpoint. If none did,
-            the retry does not count against the retry budget.
+            the retry does not count against the retry budget. Otherwise, it does once it is sent.
         """
         if ran is not Ran.NO and not request.is_repeatable:
             return None
         # A retry that is refused at once is not a retry at an endpoint.
-        is_retry = has_reached_endpoint and self._find_next_return(request, now) is None
-        if is_retry and not self._retry_budget(request.service).try_withdraw(self.host_count, now):
+        is_charged = has_reached_endpoint and self._find_next_return(request, now) is None
+        if is_charged and not self._try_reserve_retry(request.service, now):
             return None
-        return self._enqueue(PendingRequest(request, exclude, on_decision, now, ran), now)
+        pending = PendingRequest(request, exclude, on_decision, now, ran, is_charged)
+        return self._enqueue(pending, now)
 
     def try_move(
         self, request: RoutedRequest, exclude: frozenset[str], now: float
@@ -283,20 +298,24 @@
 
         :param exclude: endpoints that earlier attempts used.
         """
-        budget = self._retry_budget(request.service)
-        if not request.is_repeatable or not budget.may_withdraw(self.host_count, now):
+        if not request.is_repeatable or not self._try_reserve_retry(request.service, now):
             return None
-        moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN)
+        moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN, True)
         decision = self._decide_quarantined(moved, now) or self._try_assign(moved, now)
-        if not isinstance(decision, Assignment):
-            return None
-        budget.try_withdraw(self.host_count, now)
-        return decision
+        is_sent = isinstance(decision, Assignment)
+        self._settle_retry(moved, is_sent)
+        return decision if is_sent else None
+
+    def retry_budget_state(self, service: str, now: float) -> RetryBudgetState:
+        """Return the retry budget of a service."""
+        hosts = self._host_count.get(now)
+        return RetryBudgetState(self._retries(service).balance(hosts, now), hosts)
 
     def cancel(self, pending: PendingRequest) -> None:
         """Remove a queued request, for example because its caller disconnected."""
         if pending in self._queue:
             self._queue.remove(pending)
+            self._settle_retry(pending, is_sent=False)
 
     def dispatch_waiting(self, now: float) -> None:
         """Assign queued requests to endpoints, and refuse those that can't start in time."""
@@ -318,6 +337,7 @@
             if decision is None:
                 remaining.append(pending)
             else:
+                self._settle_retry(pending, isinstance(decision, Assignment))
                 pending.on_decision(decision)
         self._queue = remaining
 
@@ -338,9 +358,10 @@
         decision = self._decide_quarantined(pending, now)
         # Excluded endpoints differ between requests, so only first attempts share a result.
         if decision is None and (key not in blocked_items or pending.exclude):
-            decision = self._try_assign(pending, now)
+            decision = self._try_assign(pending, now) or self._refuse_repeat(pending, now)
         if decision is None:
-            blocked_items.add(key)
+            if not pending.exclude:
+                blocked_items.add(key)
             queued_ahead = queued_by_service.get(service, 0)
             decision = self._refuse_if_too_late(pending, queued_ahead, now)
             if decision is None:
@@ -358,6 +379,7 @@
             return
         state.first_event_at = state.observed_at = now
         request = state.request
+        self._refusing.record_answer(state.endpoint, state.started_at)
         if is_success:
             self.parts.record_answer(request.units, now)
         if request.item:
@@ -444,6 +466,8 @@
             if self.suspects.status(request.fingerprint, now) is not SuspectStatus.HARMLESS:
                 self.suspects.record(EventKind.CLEAR, request.fingerprint, request.model, now)
         elif outcome is not Outcome.CANCELLED:
+            if outcome is Outcome.NOT_RUN and not is_down:
+                self._refusing.record_refusal(endpoint, now)
             ejects = outcome is Outcome.CRASHED or is_unbounded
             self._ejections.record_failure(endpoint, ejects, now)
         # A refused connection carried no request, so the request can't have crashed the endpoint.
@@ -562,6 +586,12 @@
         untried = [view for view in resident if view.endpoint not in pending.exclude]
         if not untried and pending.ran is Ran.NO:
             untried = resident
+        if pending.is_charged:
+            untried = [
+                view
+                for view in untried
+                if self._refusing.may_repeat(view.endpoint, view.endpoint in pending.exclude, now)
+            ]
         available = [view for view in untried if self._has_capacity(view, request)]
         # An ejected endpoint with spare capacity is preferred to queueing for a full one.
         return retries.exclude_ejected(
@@ -707,6 +737,28 @@
             return min(end for end in ends if end is not None)
         return None if key in self._forecast_by_item else now + LEAVING_RETRY_AFTER_S
 
+    def _refuse_repeat(self, pending: PendingRequest, now: float) -> Refusal | None:
+        """Refuse a repeat if each endpoint that could take it refuses all requests.
+
+        The caller may return without spending the retry budget, and reach another host.
+        """
+        request = pending.request
+        avoided_until_by_id = {
+            endpoint: self._refusing.avoided_until(endpoint)
+            for endpoint in self._find_reachable(request.service, request.item, now)
+            if pending.ran is Ran.NO or endpoint not in pending.exclude
+        }
+        ready_at = min(avoided_until_by_id.values(), default=0.0)
+        if not pending.is_charged or ready_at <= now:
+            return None
+        endpoints = ", ".join(sorted(avoided_until_by_id)[:MAX_EXPLAINED_ENDPOINTS])
+        reason = f"all endpoints of {request.item or request.service} refuse requests: {endpoints}"
+        retry_after_s = max(AVOID_S, ready_at - now)
+        retry_after_s *= 1.0 + RETRY_AFTER_JITTER_RATIO * self._rng.random()
+        self._demand(request).count_unmet(now)
+        status = _refusal_status(pending.ran)
+        return Refusal(STEP, "", reason, "no-capacity", status, pending.ran, retry_after_s)
+
     def _predict_start(self, pending: PendingRequest, queued_ahead: int, now: float) -> float:
         """Return the predicted start of a queued request."""
         request = pending.request
@@ -761,15 +813,27 @@
     def _demand(self, request: RoutedRequest) -> ItemDemand:
         return self._demand_by_item.setdefault((request.service, request.item), ItemDemand())
 
-    def _retry_budget(self, service: str) -> retries.WindowedRetryBudget:
+    def _retries(self, service: str) -> RetryBucket:
         bounds = self._bounds
-        return self._retry_budget_by_service.setdefault(
+        return self._retries_by_service.setdefault(
             service,
-            retries.WindowedRetryBudget(
+            RetryBucket(
                 bounds.retry_window_s, bounds.retry_share, bounds.retry_slack, self._started_at
             ),
         )
 
+    def _try_reserve_retry(self, service: str, now: float) -> bool:
+        return self._retries(service).try_reserve(self._host_count.get(now), now)
+
+    def _settle_retry(self, pending: PendingRequest, is_sent: bool) -> None:
+        if not pending.is_charged:
+            return
+        bucket = self._retries(pending.request.service)
+        if is_sent:
+            bucket.spend()
+        else:
+            bucket.give_back()
+
 
 def engine_priority(request: RoutedRequest) -> int:
     """Return the priority for the engine, from 0 for the most urgent requests to 9.
