--- a/tests/test_retries_over_restarts.py
+++ b/tests/test_retries_over_restarts.py
@@ -55,19 +55,20 @@
 class Arrivals:
     """Requests of clients and arrivals of retries, as the rule counts them."""
 
+    bounds: Bounds = BOUNDS
     requests: list[float] = attrs.Factory(list)
     retries: list[float] = attrs.Factory(list)
 
     def excess(self) -> float:
         """Return by how much the worst window exceeds the bound, negative if none does."""
-        window = BOUNDS.retry_window_s
-        worst = -BOUNDS.retry_slack
+        window = self.bounds.retry_window_s
+        worst = -self.bounds.retry_slack
         for end in self.retries:
             requests = max(
                 _count(self.requests, end - window - back, end - back)
                 for back in (0.0, window / 2, window)
             )
-            allowed = BOUNDS.retry_share * requests + BOUNDS.retry_slack
+            allowed = self.bounds.retry_share * requests + self.bounds.retry_slack
             worst = max(worst, _count(self.retries, end - window, end) - allowed)
         return worst
 
@@ -79,10 +80,11 @@
 class Fleet:
     """Hosts that retry as much as they may; each step serves requests and tries retries."""
 
-    def __init__(self, seed: int = 1, hosts: int = HOSTS) -> None:
+    def __init__(self, seed: int = 1, hosts: int = HOSTS, bounds: Bounds = BOUNDS) -> None:
         self.now = 1000.0
         self.rng = random.Random(seed)
-        self.arrivals = Arrivals()
+        self.bounds = bounds
+        self.arrivals = Arrivals(bounds)
         self.views = {"e1": make_view("e1")}
         self.known_hosts = hosts
         self.requests_per_s = REQUESTS_PER_S
@@ -151,7 +153,7 @@
         return int(whole) + (self.rng.random() < part)
 
     def _start_host(self, started_at: float) -> Scheduler:
-        scheduler = Scheduler("z1", "host/1", BOUNDS, random.Random(1), started_at)
+        scheduler = Scheduler("z1", "host/1", self.bounds, random.Random(1), started_at)
         spec = ServiceSpec(name=SERVICE, max_connections=9, engine=None)
         scheduler.set_table(RouteTable(version=1, routes=(), service_by_name={SERVICE: spec}))
         scheduler.set_endpoints(self.views, self.now)
@@ -276,6 +278,19 @@
         )
         rng.choice(actions)()
 
+    def test_large_fleet_restarts(self) -> None:
+        """Guards against buckets of one retry that together hold more than a small slack."""
+        bounds = attrs.evolve(BOUNDS, retry_slack=190.0)
+        self.fleet = Fleet(hosts=75, bounds=bounds)
+        self.fleet.requests_per_s = 200.0
+        self.fleet.run(15.0, is_storm=False)
+        self.fleet.run(4.0)
+        self.fleet.restart(0.9)
+        self.fleet.run(7.0)
+        self.fleet.restart(0.5)
+        self.fleet.run(11.0)
+        self.assert_kept()
+
     def test_queued_retries_count_when_they_are_sent(self) -> None:
         """Guards against retries that wait for a place and arrive together with later ones."""
         self.fleet.run(20.0, is_storm=False)
