Adapt the tests of leaving endpoints to a retry budget that starts empty

The set-up of a host waits for its retry budget now, and the holder loads a model without a copy meanwhile, so the load that the test of leaving engines looks for came before it; its class waits for no budget. Without the holder's record of leaving engines it still fails. The scheduler of the other test knows of its one host, which was assumed before.

--- a/tests/test_endpointavailability.py
+++ b/tests/test_endpointavailability.py
@@ -55,6 +55,7 @@
         self.scheduler = Scheduler(
             "z1", "host/1", Bounds(), random.Random(1), availability=self.availability
         )
+        self.scheduler.record_host_count(1, 0.0, self.now)
         spec = EngineSpec(
             slots=SLOTS, cache_tokens=10_000, memory_mb=200, adapter_slots=2, loads_per_s=1
         )
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -18,7 +18,7 @@
 LATER_REQUESTS = 12
 
 
-class LeavingTest(HostCase):
+class LeavingCase(HostCase):
     """One host with two engines and two plain endpoints, of which the first of each leaves."""
 
     # A retry budget that never ends the attempts of a request.
@@ -58,6 +58,10 @@
         for other in others:
             other.fault = ""
 
+
+class LeavingTest(LeavingCase):
+    """Requests after an endpoint has said that it leaves."""
+
     def check_no_later_request(self, endpoint: FakeEndpoint, path: str) -> None:
         """Check that requests after an answer that says "leaving" don't reach the endpoint."""
         self.reach(endpoint, path)
@@ -179,6 +183,14 @@
         self.assertIn("m2", other.models)
         self.assertEqual(len(last.received), 1)
 
+
+class UnloadedModelTest(LeavingCase):
+    """A model that no engine has when one of them says that it leaves."""
+
+    def has_retry_budget(self) -> bool:
+        """Return true: the holder would load the model while the budget fills."""
+        return True
+
     def test_no_model_is_loaded_on_an_engine_that_said_it_leaves(self) -> None:
         """Guards against loads that are lost with the engine, as its entry still says ready."""
         leaving, other = self.engines
