Pass on large answers that can't be repeated while they arrive

Callers of sound large answers, each within the bound of one, got 502 when many of them came at once: all were held whole, and the memory that all requests share ended their attempts.

Cause: an answer was held whole even where holding it allowed nothing: no other attempt could replace it.

Fix: an answer of more than 1 MiB whose length is known is passed on part by part if its request may run only once or has used its attempts. The caller knows its length, so a part never looks like the whole. It then gets a broken connection instead of 502 if the endpoint breaks off.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -57,6 +57,9 @@
 DECISION_GRACE_S = 1.0
 # Largest answer that is held before it is sent. ``MemoryBudget`` bounds the sum over all requests.
 MAX_ANSWER_BYTES = 8 * MIB
+# Larger answers that can't be repeated are passed on while they arrive. The callers of smaller ones
+# get a status that says so if their answer is broken off.
+RELAYED_ANSWER_BYTES = MIB
 EVENT_STREAM = "text/event-stream"
 # Fault of an answer whose events are incomplete or out of order.
 SEQUENCE_FAULT = "sequence"
@@ -552,6 +555,8 @@
         try:
             if self._is_stream(answer):
                 return self._begin_stream(assignment, answer)
+            if self._may_relay(answer):
+                return self._begin_relay(assignment, answer)
             return self._read_complete_answer(assignment, answer)
         except AttemptError:
             answer.close()
@@ -567,6 +572,16 @@
             return False
         return self._is_resume or _is_event_stream(answer)
 
+    def _may_relay(self, answer: UpstreamAnswer) -> bool:
+        """Return whether a large answer is passed on while it arrives.
+
+        Its caller knows its length, so that it never looks complete too early, and no other attempt
+        could replace it.
+        """
+        is_large = answer.length is not None and answer.length > RELAYED_ANSWER_BYTES
+        may_be_repeated = self._may_run_again() and self.attempts_sent < MAX_ATTEMPTS
+        return is_large and answer.length <= MAX_ANSWER_BYTES and not may_be_repeated
+
     def _open(self, assignment: Assignment) -> UpstreamAnswer:
         """Send the request to an endpoint and read the head of the answer."""
         self.attempts_sent += 1
@@ -704,6 +719,44 @@
         length = answer.announced_length if answer.is_to_head else body.size
         return Reply(status=answer.status, headers=answer.headers, body=body, length=length)
 
+    def _begin_relay(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
+        first = self._read(answer)
+        self.progress = AttemptProgress.EVENTS
+        self.first_received_at = time.monotonic()
+        is_success = answer.status < HTTPStatus.BAD_REQUEST
+        self._forwarder.record_first_event(assignment, answer.load, is_success)
+        body = self._relay_body(assignment, answer, first)
+        # As in ``_begin_stream``.
+        next(body)
+        return Reply(status=answer.status, headers=answer.headers, body=body, length=answer.length)
+
+    def _relay_body(
+        self, assignment: Assignment, answer: UpstreamAnswer, first: bytes
+    ) -> Iterator[bytes]:
+        """Yield the parts of an answer that can't be repeated."""
+        end, reason, outcome, fault = "caller left", "", Outcome.CANCELLED, ""
+        try:
+            yield b""
+            yield first
+            while part := self._read(answer):
+                yield part
+            end, self.ran = "answered", Ran.YES
+            is_failure = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            outcome = Outcome.FAILED if is_failure else Outcome.COMPLETED
+        except AttemptError as error:
+            if not self._is_disconnected:
+                end, reason, outcome, fault = "broken off", error.reason, error.outcome, error.fault
+                self.ran = Ran.UNKNOWN
+                self._forwarder.record_attempt(self, assignment, error)
+            raise ConnectionAbortedError(error.reason) from error
+        finally:
+            # Closes the connection unless the answer was read to its end.
+            answer.finish()
+            self._answer = None
+            self._forwarder.unwatch_caller(self)
+            self._forwarder.finish(assignment, outcome, fault)
+            self._forwarder.record_end(self, end, answer.status, reason)
+
     def _begin_stream(self, assignment: Assignment, answer: UpstreamAnswer) -> Reply:
         chunks = self._read_events(assignment, answer)
         first = next(chunks, b"")
--- a/tests/memory_host.py
+++ b/tests/memory_host.py
@@ -64,6 +64,7 @@
     "event": "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
     "events": "Content-Type: text/event-stream\r\n\r\n",
     "large": f"Content-Length: {LARGE_ANSWER_BYTES}\r\n\r\n",
+    "cut large": f"Content-Length: {LARGE_ANSWER_BYTES}\r\n\r\n",
     "head": "",
 }
 
@@ -72,8 +73,8 @@
     """Endpoint that sends bytes without end, or large answers.
 
     :ivar kind: key of ``_REPEATED_BY_KIND``, ``events`` (valid events without end), ``large`` (a
-        sound answer), ``only announced`` (a head that no body follows) or empty for regular
-        answers.
+        sound answer), ``cut large`` (half of one), ``only announced`` (a head that no body follows)
+        or empty for regular answers.
     :ivar sent: bytes sent of all answers without end.
     :ivar ended_answers: number of answers that are not regular and ended.
     """
@@ -117,8 +118,9 @@
         if self.kind == "only announced":
             self.ended.wait(MAX_SENDING_S)
             return
-        if self.kind == "large":
-            request.wfile.write(_LARGE_ANSWER)
+        if self.kind in ("large", "cut large"):
+            is_cut = self.kind == "cut large"
+            request.wfile.write(_LARGE_ANSWER[: LARGE_ANSWER_BYTES // 2 if is_cut else None])
             return
         sent = number = 0
         ends_at = time.monotonic() + MAX_SENDING_S
