--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -36,6 +36,12 @@
             with self.subTest(kind):
                 self.check(kind)
 
+    def test_large_requests_of_many_callers_stay_within_the_memory_limit(self) -> None:
+        """Bodies of requests must not fill the memory of the host; those refused have not run."""
+        measurement = self.check("request bodies")
+        self.assertIn(200, measurement.statuses)
+        self.assertLessEqual(set(measurement.statuses), {200, 503})
+
 
 if __name__ == "__main__":
     unittest.main()
