Report a reset that comes before an answer is noted as complete

What was missing: a caller can have the whole answer, and reset its connection, before the thread that sent the last bytes has noted the end. That reset was neither reported as one nor as an unanswered request.

With the end of the answer held back until the connection is closed, test_reset_before_the_thread_notes_its_answer_is_counted failed each time before.

Why the fix works: under the lock that both threads take, either the event loop finds the answer complete and reports the reset, or the thread finds the reset noted and reports it.

--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -86,6 +86,8 @@
     # The request that was answered last, and the time at which its answer was complete.
     _answered: Parser | None = None
     _answered_at = 0.0
+    # Whether the caller reset the connection while an answer was not noted as complete.
+    _is_reset = False
 
     def __init__(self, *args: object, **options: object) -> None:
         self._has_loop_error = False
@@ -236,7 +238,11 @@
 
     def mark_answered(self, request: Parser) -> None:
         """Note that the answer to a request is complete."""
-        self._answered, self._answered_at = request, time.monotonic()
+        with self._answer_lock:
+            self._answered, self._answered_at = request, time.monotonic()
+            is_reset, self._is_reset = self._is_reset, False
+        if is_reset:
+            self._report_reset()
 
     def recv(self, buffer_size: int) -> bytes:
         """Read from the connection, and close it if the caller has ended it."""
@@ -251,10 +257,11 @@
 
     def _report_reset(self) -> None:
         """Report a reset, unless a request in progress or an unsent answer is reported for it."""
-        # The thread may still hold a request whose answer is complete.
-        is_in_progress = any(request is not self._answered for request in self.requests)
-        if is_in_progress or self.total_outbufs_len:
-            return
+        with self._answer_lock:
+            # The thread may still hold a request whose answer is complete, or note that later.
+            self._is_reset = any(request is not self._answered for request in self.requests)
+            if self._is_reset or self.total_outbufs_len:
+                return
         answered_s_ago = time.monotonic() - self._answered_at
         is_recent = self._answered is not None and answered_s_ago < RECENT_ANSWER_S
         state = PARTIAL_REQUEST if self.request else RECENT_ANSWER if is_recent else IDLE
--- a/tests/test_caller_resets.py
+++ b/tests/test_caller_resets.py
@@ -2,14 +2,16 @@
 
 import socket
 import struct
+import threading
 import time
 from unittest import mock
 
+from catkinhook.answertask import Task
 from catkinhook.callerresets import IDLE, PARTIAL_REQUEST, RECENT_ANSWER
 from catkinhook.unanswered import CALLER_CLOSED, UNSENT_ANSWER
 from catkinhook.units import MIB
 from tests.connectioncase import HEADERS, Caller, ConnectionCase
-from tests.hostcase import wait_until
+from tests.hostcase import WAIT_S, wait_until
 from tests.platform_fakes import ScriptedAnswer
 
 LOOKUP = f"GET /look/x HTTP/1.1\r\n{HEADERS}\r\n"
@@ -83,6 +85,22 @@
         wait_until(lambda: self.count_resets(RECENT_ANSWER) == 1)
         self.assertIn(("caller-reset", RECENT_ANSWER), self.lines)
 
+    def test_reset_before_the_thread_notes_its_answer_is_counted(self) -> None:
+        """A caller may have an answer before the thread that sent it has come to its end."""
+        finish, is_closed = Task.finish, threading.Event()
+
+        def finish_late(task: Task) -> None:
+            is_closed.wait(WAIT_S)
+            finish(task)
+
+        with mock.patch.object(Task, "finish", finish_late):
+            caller = self.connect()
+            self.answer(caller)
+            reset(caller)
+            wait_until(lambda: not self.host.front.server.active_channels)
+            is_closed.set()
+            wait_until(lambda: self.count_resets(RECENT_ANSWER) == 1)
+
     def test_reset_in_a_request_is_counted(self) -> None:
         """A request that arrived in part must leave a line, as its caller may have sent all."""
         caller = self.connect()
