Give back the bytes of requests behind an answer when their connection closes

A connection may close after an answer was written to it and before its thread removes the request, for example when its unread output is evicted. waitress then starts no thread for the requests that were read behind it, and doesn't close them. Their bytes stayed pinned in the memory account for ever, which can't be evicted; a host on which this happens often refuses all requests with 503 in the end.

The thread that ends such a request now closes those behind it. The check is made under the lock with which the next thread would begin, and a connection that is closed stays closed, so no request is closed while it is served.

The test, which closes the connection at the end of an answer with another request behind it, waited in vain for the account to become empty before.

--- a/catkinhook/channel.py
+++ b/catkinhook/channel.py
@@ -156,6 +156,10 @@
                     self._running = None
                     # waitress replaces the list when it drops the requests behind the first one.
                     dropped = requests[1:] if self.requests is not requests else []
+                    if not self.connected:
+                        # waitress starts none of these, and does not close them either.
+                        for later_request in self.requests:
+                            later_request.close()
         for later_request in dropped:
             self.report_unanswered(later_request, EARLIER_ANSWER, has_begun=False)
         if self._is_finishing and not self.requests:
--- a/tests/test_held_connections.py
+++ b/tests/test_held_connections.py
@@ -140,6 +140,44 @@
         self.assertEqual(self.served, [MIB // 4] * 3)
         wait_until(lambda: self.memory.held == 0)
 
+    def test_request_behind_an_answer_that_ends_with_its_connection_is_given_back(self) -> None:
+        """A connection that closes after its answer was written must not keep the next request.
+
+        Bytes of whole requests can't be evicted, so a host would refuse all requests in the end.
+        """
+        served: list[str] = []
+
+        class ClosedAnswer:
+            """Answer whose connection is closed when all of it was written."""
+
+            def __init__(self, server: Server) -> None:
+                self._server = server
+                self._parts = iter([b"ok"])
+
+            def __iter__(self) -> Iterator[bytes]:
+                return self._parts
+
+            def close(self) -> None:
+                (channel,) = self._server.active_channels.values()
+                channel.close_from_thread()
+                wait_until(lambda: not channel.connected)
+
+        def answer(environ: dict, start_response: Callable) -> ClosedAnswer:
+            served.append(environ["PATH_INFO"])
+            start_response("200 OK", [("Content-Length", "2")])
+            return ClosedAnswer(self.server)
+
+        self.server.application = answer
+        body = b"x" * KIB
+        head = "POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        requests = [(head % (number, len(body))).encode() + body for number in range(2)]
+        connection = self.connect()
+        connection.sendall(b"".join(requests))
+        self.read_answer(connection)
+        wait_until(lambda: not self.server.active_channels)
+        wait_until(lambda: self.memory.held == 0)
+        self.assertEqual(served, ["/0"])
+
     def test_kept_connection_holds_nothing_between_requests(self) -> None:
         """The account must not drift, or a host would refuse all requests after some time.
 
