Give back the reserved retry of a move that fails with an error

try_move reserves a retry before it looks for an endpoint. If the scheduler raised an error meanwhile, the retry was neither spent nor given back. Reserved retries count towards the capacity of the bucket, so each error lowered the retry budget of the service on this host until the process ended. Queued requests have been settled after such errors; moves were not.

The retry is now settled in a finally block.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -301,10 +301,12 @@
         if not request.is_repeatable or not self._try_reserve_retry(request.service, now):
             return None
         moved = PendingRequest(request, exclude, lambda decision: None, now, Ran.UNKNOWN, True)
-        decision = self._decide_quarantined(moved, now) or self._try_assign(moved, now)
-        is_sent = isinstance(decision, Assignment)
-        self._settle_retry(moved, is_sent)
-        return decision if is_sent else None
+        decision: Decision | None = None
+        try:
+            decision = self._decide_quarantined(moved, now) or self._try_assign(moved, now)
+        finally:
+            self._settle_retry(moved, isinstance(decision, Assignment))
+        return decision if isinstance(decision, Assignment) else None
 
     def retry_budget_state(self, service: str, now: float) -> RetryBudgetState:
         """Return the retry budget of a service."""
--- a/tests/test_retries_over_restarts.py
+++ b/tests/test_retries_over_restarts.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 import attrs
 
@@ -361,6 +362,7 @@
         bounds = Bounds(retry_share=0.2, retry_slack=1000.0)
         self.scheduler = Scheduler("z1", "host/1", bounds, random.Random(1))
         self.scheduler.record_host_count(1, 0.0, self.now)
+        self.full_balance = self.scheduler.retry_budget_state(SERVICE, self.now).balance
         spec = ServiceSpec(name=SERVICE, max_connections=9, engine=None)
         self.scheduler.set_table(RouteTable(version=1, routes=(), service_by_name={SERVICE: spec}))
         views = {name: make_view(name) for name in ("e1", "e2", "e3")}
@@ -435,3 +437,16 @@
         request = self.make_request("repeat")
         self.scheduler.resubmit(request, tried, Ran.NO, decisions.append, self.now)
         self.assertEqual(decisions[-1].endpoint.endpoint, accepting)
+
+    def test_move_that_fails_with_an_error_is_given_back(self) -> None:
+        """Guards against a capacity that shrinks for ever with each error of the scheduler."""
+        for _ in range(3):
+            with (
+                mock.patch.object(self.scheduler.suspects, "status", side_effect=KeyError),
+                self.assertRaises(KeyError),
+            ):
+                self.scheduler.try_move(self.make_request("r1"), frozenset(), self.now)
+        before = self.scheduler.retry_budget_state(SERVICE, self.now).balance
+        self.now += 3600.0
+        after = self.scheduler.retry_budget_state(SERVICE, self.now).balance
+        self.assertEqual((before, after), (self.full_balance, self.full_balance))
