Never assign a repeat without a charge at the end of a pause

A repeat whose endpoints all leave or pause is refused at once and needs no reserved retry. It was queued without a reservation, and the scheduler then looked at the endpoints again. The thread that ends pauses may remove a pause between the two looks, whose time was taken before by the thread of the request. The repeat was then assigned, or stayed queued, and reached an endpoint without counting against the retry budget, at the moment at which many callers return.

resubmit now refuses such a repeat by the first look and does not queue it, so that only repeats with a reservation, and those that reached no endpoint, can be assigned.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -282,11 +282,17 @@
         """
         if ran is not Ran.NO and not request.is_repeatable:
             return None
-        # A retry that is refused at once is not a retry at an endpoint.
-        is_charged = has_reached_endpoint and self._find_next_return(request, now) is None
-        if is_charged and not self._try_reserve_retry(request.service, now):
+        next_at = self._find_next_return(request, now) if has_reached_endpoint else None
+        if next_at is not None:
+            # Refused here and not queued: the pause may be removed meanwhile in another thread, and
+            # a retry that is not reserved must not be assigned.
+            pending = PendingRequest(request, exclude, on_decision, now, ran)
+            decision = self._decide_quarantined(pending, now)
+            on_decision(decision or self._refuse_to_wait(pending, next_at, next_at, now))
+            return pending
+        if has_reached_endpoint and not self._try_reserve_retry(request.service, now):
             return None
-        pending = PendingRequest(request, exclude, on_decision, now, ran, is_charged)
+        pending = PendingRequest(request, exclude, on_decision, now, ran, has_reached_endpoint)
         return self._enqueue(pending, now)
 
     def try_move(
@@ -710,6 +716,17 @@
             and len(self._queue) <= MAX_QUEUE_LENGTH
         ):
             return None
+        return self._refuse_to_wait(pending, ready_at, next_at, now)
+
+    def _refuse_to_wait(
+        self, pending: PendingRequest, ready_at: float, next_at: float | None, now: float
+    ) -> Refusal:
+        """Refuse a request that can't start in time.
+
+        :param ready_at: predicted start.
+        :param next_at: result of ``_find_next_return``.
+        """
+        request = pending.request
         reason = self._explain_wait(request, now)
         if self._is_stopping:
             # Another host can queue the request for longer than this process will run.
--- a/tests/test_retries_over_restarts.py
+++ b/tests/test_retries_over_restarts.py
@@ -10,6 +10,7 @@
 
 from catkinhook.errors import Ran, Refusal
 from catkinhook.hostsettings import Bounds
+from catkinhook.requests.endpointavailability import EndpointAvailability
 from catkinhook.requests.hostretries import HostCount
 from catkinhook.requests.hostscheduler import Scheduler
 from catkinhook.requests.outcomes import Outcome
@@ -360,7 +361,10 @@
     def setUp(self) -> None:
         self.now = 100.0
         bounds = Bounds(retry_share=0.2, retry_slack=1000.0)
-        self.scheduler = Scheduler("z1", "host/1", bounds, random.Random(1))
+        self.availability = EndpointAvailability()
+        self.scheduler = Scheduler(
+            "z1", "host/1", bounds, random.Random(1), availability=self.availability
+        )
         self.scheduler.record_host_count(1, 0.0, self.now)
         self.full_balance = self.scheduler.retry_budget_state(SERVICE, self.now).balance
         spec = ServiceSpec(name=SERVICE, max_connections=9, engine=None)
@@ -438,6 +442,31 @@
         self.scheduler.resubmit(request, tried, Ran.NO, decisions.append, self.now)
         self.assertEqual(decisions[-1].endpoint.endpoint, accepting)
 
+    def test_repeat_at_the_end_of_a_pause_is_charged_or_refused(self) -> None:
+        """Guards against a repeat that reaches an endpoint without a charge.
+
+        Another thread removes the pause of the only endpoint while the repeat is decided on.
+        """
+        view = make_view("e1")
+        self.scheduler.set_endpoints({"e1": view}, self.now)
+        self.availability.record_pause(view, 1.0, self.now)
+        find_pause_end = self.availability.find_pause_end
+
+        def end_pause(view: EndpointView) -> float | None:
+            end = find_pause_end(view)
+            self.availability.end_pauses(self.now + 1.0)
+            return end
+
+        decisions: list[Decision] = []
+        before = self.scheduler.retry_budget_state(SERVICE, self.now).balance
+        with mock.patch.object(self.availability, "find_pause_end", end_pause):
+            request = self.make_request("r1")
+            self.scheduler.resubmit(request, frozenset({"e1"}), Ran.NO, decisions.append, self.now)
+        after = self.scheduler.retry_budget_state(SERVICE, self.now).balance
+        sent = sum(isinstance(decision, Assignment) for decision in decisions)
+        self.assertEqual(before - after, sent)
+        self.assertEqual(len(decisions), 1)
+
     def test_move_that_fails_with_an_error_is_given_back(self) -> None:
         """Guards against a capacity that shrinks for ever with each error of the scheduler."""
         for _ in range(3):
