End the wait of a request whose caller leaves when the wait begins

The monitor of callers reports a disconnect once. A request that began to wait for an endpoint was watched before it had set what ends its wait. If the monitor looked between the two steps, the request stayed queued until a second after its deadline, took a place there, and kept its thread.

The callback is now set first. In the test, whose monitor reports a disconnect at once, the wait took 4.0 s with a deadline of 3 s before.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -265,8 +265,9 @@
             return None
         if not decided.is_set():
             self._on_waiting()
-            self._monitor.add(job.key, job.is_disconnected, job.abort)
+            # Set first: the caller may leave as soon as it is watched, and is reported only once.
             job.on_disconnect = decided.set
+            self._monitor.add(job.key, job.is_disconnected, job.abort)
             time_left_s = max(0.0, request.caller_deadline() - time.monotonic())
             if job.attempts_sent and not decided.wait(REPEAT_PAUSE_S):
                 # The pause after a refusal is over, and nothing else may wake the scheduler.
