Wake a repeat again when refusals of other requests prolong its pause

A request that an endpoint refused is repeated there after 0.15 s at the earliest, counted from the latest refusal of that endpoint. The thread of the request woke the scheduler once, 0.15 s after it began to wait. A refusal of another request meanwhile moved the end of the pause, and then nothing woke the scheduler: the repeat waited for another event, such as an exchange with the holder, or to its deadline, and was refused at an idle endpoint.

The thread now asks the scheduler for the end of the pause each time, until no endpoint of the request is left out for its refusals. The queue is decided on only when a pause is over. In the test, one refusal 0.075 s into the pause left the repeat in the queue until its deadline of 3 s before.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -268,10 +268,9 @@
             # Set first: the caller may leave as soon as it is watched, and is reported only once.
             job.on_disconnect = decided.set
             self._monitor.add(job.key, job.is_disconnected, job.abort)
+            if job.attempts_sent:
+                self._wait_for_repeat(pending, decided)
             time_left_s = max(0.0, request.caller_deadline() - time.monotonic())
-            if job.attempts_sent and not decided.wait(REPEAT_PAUSE_S):
-                # The pause after a refusal is over, and nothing else may wake the scheduler.
-                self._scheduler.tell(lambda scheduler: scheduler.dispatch_waiting(time.monotonic()))
             decided.wait(time_left_s + DECISION_GRACE_S)
             self._monitor.remove(job.key)
             job.on_disconnect = None
@@ -288,6 +287,24 @@
             return Refusal(STEP, "", reason, "no-capacity", status, job.ran, 1.0)
         return decisions[0]
 
+    def _wait_for_repeat(self, pending: PendingRequest, decided: threading.Event) -> None:
+        """Wait for the decision on a repeat while endpoints that refused requests get none.
+
+        Nothing else may wake the scheduler when such a pause ends. Refusals of other requests
+        prolong it.
+        """
+
+        def dispatch(scheduler: Scheduler) -> float | None:
+            now = time.monotonic()
+            repeat_at = scheduler.dispatch_repeat(pending, now)
+            return None if repeat_at is None else repeat_at - now
+
+        wait_s: float | None = REPEAT_PAUSE_S
+        ends_at = pending.request.caller_deadline()
+        with contextlib.suppress(pykka.Timeout):
+            while wait_s is not None and time.monotonic() < ends_at and not decided.wait(wait_s):
+                wait_s = self._scheduler.ask(dispatch)
+
     def _withdraw(self, requested: list[PendingRequest], decisions: list[Decision]) -> None:
         """Withdraw a request whose scheduler did not answer in time.
 
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -319,6 +319,21 @@
         hosts = self._host_count.get(now)
         return RetryBudgetState(self._retries(service).balance(hosts, now), hosts)
 
+    def dispatch_repeat(self, pending: PendingRequest, now: float) -> float | None:
+        """Decide on queued requests, unless all endpoints of a repeat still refuse requests.
+
+        :returns: the time at which the repeat may be sent to the next of the endpoints that refused
+            requests, None if there is none. Later refusals may move it.
+        """
+        request = pending.request
+        times = [
+            self._refusing.repeat_at(endpoint, endpoint in pending.exclude)
+            for endpoint in self._find_reachable(request.service, request.item, now)
+        ]
+        if min(times, default=0.0) <= now:
+            self.dispatch_waiting(now)
+        return min((time for time in times if time > now), default=None)
+
     def cancel(self, pending: PendingRequest) -> None:
         """Remove a queued request, for example because its caller disconnected."""
         if pending in self._queue:
--- a/catkinhook/requests/refusals.py
+++ b/catkinhook/requests/refusals.py
@@ -58,8 +58,15 @@
 
         :param is_tried: whether the same request was sent to the endpoint before.
         """
+        return self.repeat_at(endpoint, is_tried) <= now
+
+    def repeat_at(self, endpoint: str, is_tried: bool) -> float:
+        """Return the time from which a request may be repeated at an endpoint.
+
+        :param is_tried: as for ``may_repeat``.
+        """
         refusals = self._refusals_by_endpoint.get(endpoint)
         if refusals is None:
-            return True
-        is_paused = is_tried and now < refusals.last_at + REPEAT_PAUSE_S
-        return not is_paused and self.avoided_until(endpoint) <= now
+            return 0.0
+        pause_end = refusals.last_at + REPEAT_PAUSE_S if is_tried else 0.0
+        return max(pause_end, self.avoided_until(endpoint))
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -1,15 +1,20 @@
 """Requests that wait for an endpoint in the thread of their caller."""
 
 import random
+import threading
 import time
 import unittest
 from collections.abc import Callable
 from unittest import mock
 
+from catkinhook.errors import Ran, Refusal
 from catkinhook.hostsettings import Bounds
+from catkinhook.requests.attempts import AttemptError
 from catkinhook.requests.forwarding import CallerDisconnectedError, Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
 from catkinhook.requests.memorybudget import MemoryBudget
+from catkinhook.requests.outcomes import Outcome
+from catkinhook.requests.refusals import REPEAT_PAUSE_S
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import RouteTable, ServiceSpec
 from catkinhook.stateactor import StateActor
@@ -78,3 +83,32 @@
             self.forwarder.run(self.make_request("r1"), mock.MagicMock(), lambda: True)
         self.assertLess(time.monotonic() - began, DEADLINE_S / 2)
         self.assertEqual(self.scheduler.ask(lambda scheduler: scheduler.waiting()), 0)
+
+    def test_repeat_starts_when_a_refusal_of_another_request_prolongs_its_pause(self) -> None:
+        """Guards against a repeat that waits to its deadline at an idle endpoint."""
+        other: list[Decision] = []
+        opened_at: list[float] = []
+
+        def refuse(assignment: Assignment, *options: object) -> None:
+            opened_at.append(time.monotonic())
+            if len(opened_at) == 1:
+                other.extend(self.submit("other"))
+                raise AttemptError("test", "e1", "refused", Ran.NO, 503, Outcome.NOT_RUN)
+            raise AttemptError("test", "e1", "is over", Ran.NO, 0, Outcome.CANCELLED)
+
+        def refuse_other() -> None:
+            self.scheduler.tell(
+                lambda scheduler: scheduler.finish(
+                    other[0].attempt, Outcome.NOT_RUN, time.monotonic()
+                )
+            )
+
+        timer = threading.Timer(REPEAT_PAUSE_S / 2, refuse_other)
+        self.addCleanup(timer.join)
+        self.forwarder._on_waiting = timer.start
+        upstream = mock.MagicMock()
+        upstream.open = refuse
+        result = self.forwarder.run(self.make_request("r1"), upstream, lambda: False)
+        self.assertIsInstance(result, Refusal)
+        self.assertEqual(len(opened_at), 2, result.reason)
+        self.assertLess(opened_at[1] - opened_at[0], DEADLINE_S / 2)
