Don't count requests that were not sent as failures of their endpoint

Requests that were assigned before an endpoint asked for a pause are not sent. Each of them was recorded as a refusal of the endpoint and as a failure. Three of them ejected it for 2 s and more, and repeats avoided it, so it got no requests after the end of its pause while another endpoint was busy.

They end like cancelled attempts now, which say nothing about an endpoint. In the test, both requests after three such attempts went to the other endpoint before, which queued the second one.

--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -353,13 +353,17 @@
         """End an attempt.
 
         :param fault: ``absent`` if the endpoint lacks the item, ``down`` if it can't be reached,
-            ``UNBOUNDED_FAULT`` if it sent too many bytes.
+            ``UNBOUNDED_FAULT`` if it sent too many bytes, ``UNAVAILABLE_FAULT`` if it wants no
+            requests and got none.
         """
         with self._lock:
             self._job_by_attempt.pop(assignment.attempt, None)
         now = time.monotonic()
         is_absent, is_down = fault == "absent", fault == DOWN_FAULT
         is_unbounded = fault == UNBOUNDED_FAULT
+        if fault == UNAVAILABLE_FAULT:
+            # Nothing was sent, so this is neither a refusal nor a failure of the endpoint.
+            outcome = Outcome.CANCELLED
         if is_unbounded and outcome is not Outcome.CANCELLED:
             self._metrics.unbounded_answers.inc()
             self._log.record(
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -112,3 +112,25 @@
         self.assertIsInstance(result, Refusal)
         self.assertEqual(len(opened_at), 2, result.reason)
         self.assertLess(opened_at[1] - opened_at[0], DEADLINE_S / 2)
+
+    def test_endpoint_is_not_ejected_for_requests_that_it_never_got(self) -> None:
+        """Guards against an endpoint that is left out beyond the end of its pause.
+
+        Requests that were assigned before an endpoint asked for a pause are not sent.
+        """
+
+        def open_paused(assignment: Assignment, *options: object) -> None:
+            endpoint = assignment.endpoint.endpoint
+            raise AttemptError(
+                "test", endpoint, "pauses", Ran.NO, 0, Outcome.NOT_RUN, "unavailable"
+            )
+
+        upstream = mock.MagicMock()
+        upstream.open = open_paused
+        for number in range(3):
+            self.forwarder.run(self.make_request(f"r{number}"), upstream, lambda: False)
+        now = time.monotonic()
+        views = {name: make_view(name, slots=1) for name in ("e1", "e2")}
+        self.scheduler.ask(lambda scheduler: scheduler.set_endpoints(views, now))
+        assigned = [self.submit(name)[0].endpoint.endpoint for name in ("r4", "r5")]
+        self.assertEqual(sorted(assigned), ["e1", "e2"])
