Refuse a repeat that no known endpoint may take before its deadline

A repeat that may have run is not sent to an endpoint that was tried. If all reachable endpoints were tried, the scheduler still predicted a start there. The repeat stayed queued until its deadline and kept its reserved retry, which counts towards the capacity of the budget, so that other requests of the service got fewer retries meanwhile.

Such a repeat now waits like a request for whose item there is no endpoint: as long as the holder announces another copy, or for 30 % of its time if it announces none. In the test, which has one endpoint, the repeat was still queued at half of its time before.

--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -797,7 +797,11 @@
         """Return the predicted start of a queued request."""
         request = pending.request
         key = (request.service, request.item)
-        if self._find_reachable(*key, now):
+        # A repeat that may have run must not be sent to the same endpoint again.
+        if any(
+            pending.ran is Ran.NO or endpoint not in pending.exclude
+            for endpoint in self._find_reachable(*key, now)
+        ):
             interval_s = self._interval_by_service.get(
                 request.service, _CompletionInterval()
             ).seconds
--- a/tests/test_retries_over_restarts.py
+++ b/tests/test_retries_over_restarts.py
@@ -479,3 +479,21 @@
         self.now += 3600.0
         after = self.scheduler.retry_budget_state(SERVICE, self.now).balance
         self.assertEqual((before, after), (self.full_balance, self.full_balance))
+
+    def test_repeat_that_no_endpoint_may_take_does_not_hold_a_retry_until_its_deadline(
+        self,
+    ) -> None:
+        """Guards against a budget that is reserved for repeats which can't be sent.
+
+        The request may have run at the only endpoint, and no other one is announced.
+        """
+        self.scheduler.set_endpoints({"e1": make_view("e1")}, self.now)
+        decisions: list[Decision] = []
+        request = self.make_request("r1")
+        tried = frozenset({"e1"})
+        self.scheduler.resubmit(request, tried, Ran.UNKNOWN, decisions.append, self.now)
+        self.now += 0.5 * ROUTE.timeout_s
+        self.scheduler.dispatch_waiting(self.now)
+        self.assertEqual([decision.status for decision in decisions], [502])
+        balance = self.scheduler.retry_budget_state(SERVICE, self.now).balance
+        self.assertEqual(balance, self.full_balance)
