Split the forwarding of requests into three modules

forwarding.py had grown to nearly 1000 lines with two classes that share no state. The class of one request is requestjob.RequestJob now, the interface to endpoints and the answer to the caller are in upstreams, and forwarding keeps what all requests of a host share. No statement of a function has changed.

--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -20,10 +20,11 @@
 from catkinhook.requests.attempts import ConnectionPool
 from catkinhook.requests.endpointactivity import EndpointActivity
 from catkinhook.requests.endpointavailability import EndpointAvailability
-from catkinhook.requests.forwarding import CallerDisconnectedError, Forwarder, Reply
+from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.quarantinecontrol import QuarantineControl
 from catkinhook.requests.routedrequest import DEFAULT_OUTPUT_TOKENS, RoutedRequest
 from catkinhook.requests.routetable import Route, RouteTable
+from catkinhook.requests.upstreams import CallerDisconnectedError, Reply
 from catkinhook.texts import parse_count
 
 STEP = "front"
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -10,13 +10,14 @@
 from catkinhook.errors import Ran, Refusal
 from catkinhook.hostsettings import Bounds
 from catkinhook.requests.attempts import AttemptError
-from catkinhook.requests.forwarding import CallerDisconnectedError, Forwarder
+from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
 from catkinhook.requests.memorybudget import MemoryBudget
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.refusals import REPEAT_PAUSE_S
 from catkinhook.requests.routedrequest import Assignment, Decision, RoutedRequest
 from catkinhook.requests.routetable import RouteTable, ServiceSpec
+from catkinhook.requests.upstreams import CallerDisconnectedError
 from catkinhook.stateactor import StateActor
 from tests.test_retries_over_restarts import ROUTE, SERVICE, make_view
 
