Round the Retry-After of a refusal up

Callers that were told to return at the end of a pause could return up to 5 ms before it, and be refused again, because the header was rounded to the nearest hundredth of a second.

--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -1,6 +1,7 @@
 """WSGI application for the platform's callers: decodes requests and encodes answers."""
 
 import json
+import math
 import random
 import sys
 from collections.abc import Callable, Iterable
@@ -184,7 +185,7 @@
         body = render_problem(refusal)
         headers = [("Content-Type", PROBLEM_CONTENT_TYPE), ("Content-Length", str(len(body)))]
         if refusal.status == 503:
-            headers.append((protocolnames.RETRY_AFTER, f"{refusal.retry_after_s:.2f}"))
+            headers.append((protocolnames.RETRY_AFTER, _format_seconds(refusal.retry_after_s)))
         start_response(_status_line(refusal.status), headers, exc_info)
         return [body]
 
@@ -339,6 +340,11 @@
     return status, "application/json", json.dumps(value).encode()
 
 
+def _format_seconds(seconds: float) -> str:
+    """Return seconds rounded up, so that no caller returns before a pause has ended."""
+    return f"{math.ceil(seconds * 100) / 100:.2f}"
+
+
 def _status_line(status: int) -> str:
     try:
         return f"{status} {HTTPStatus(status).phrase}"
