--- a/catkinhook/requests/refusals.py
+++ b/catkinhook/requests/refusals.py
@@ -9,7 +9,7 @@
 # A request is not sent again to an endpoint that refused it this recently.
 REPEAT_PAUSE_S = 0.15
 # Refusals in a row after which repeats of other requests avoid an endpoint too. An endpoint that
-# refuses only some requests is still worth a repeat.
+# refuses only some requests may run the repeat.
 REFUSALS_TO_AVOID = 3
 # Time after the latest refusal for which they do, and longest time between refusals in a row.
 AVOID_S = 0.5
