Wait for the lease before the test of a missing adapter

The set-up of a host waits about a second for its retry budget now, and the lease of 1 s in these tests had lapsed by then, so the request came while nobody ordered adapters.

--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -196,6 +196,8 @@
 
     def test_missing_adapter_is_loaded(self) -> None:
         """A requested adapter must be loaded by some engine."""
+        # The lease of 1 s may have lapsed while the retry budget of the set-up filled.
+        wait_until(self.host.lease.is_held)
         answer, _ = self.send_request("POST", "/live/x", b"p", Model="m1/a2", Token_Usage="10,20")
         self.assertEqual(answer.status, 200)
         orders = [order for engine in self.engines for order in engine.orders]
