--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -35,6 +35,11 @@
 from catkinhook.peering.peers import COMPACT_PROTOCOL, PeerPool, PeerServer
 from catkinhook.requests.attempts import ConnectionPool
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
+from catkinhook.requests.endpointavailability import (
+    OWN_SOURCE,
+    AvailabilityChange,
+    EndpointAvailability,
+)
 from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.hostscheduler import Scheduler
 from catkinhook.requests.partquarantine import Quarantine
@@ -88,6 +93,7 @@
         get_route_table: Callable[[], RouteTable | None],
         forwarder: Forwarder,
         connections: ConnectionPool,
+        availability: EndpointAvailability,
         state: HostState,
     ) -> Callable:
         """Return the application."""
@@ -195,6 +201,8 @@
         self.log = DecisionLog(settings.node, self.metrics.registry)
         self.state = HostState(MAX_REQUESTS, bounds.grace_s, self._explain_unready, self.log)
         rng = random.Random()
+        availability = EndpointAvailability()
+        availability.on_change = self._record_availability
         scheduler = StateActor(
             Scheduler(
                 settings.zone,
@@ -204,6 +212,7 @@
                 time.monotonic(),
                 self._record_quarantine,
                 lambda: self.lease.is_held(),
+                availability,
             )
         )
         self._scheduler = scheduler
@@ -285,7 +294,7 @@
             self.holder_link.push_evidence,
         )
         front = platform.make_front_application(
-            lambda: self.configuration.table, forwarder, connections, self.state
+            lambda: self.configuration.table, forwarder, connections, availability, self.state
         )
         threads = MAX_REQUESTS + SPARE_THREADS
         self._find_request_id = platform.find_request_id
@@ -353,6 +362,25 @@
         )
         self.holder_link.push_evidence()
 
+    def _record_availability(self, change: AvailabilityChange) -> None:
+        """Log a change of what an endpoint wants, and decide again on the requests that wait."""
+        is_own = change.source == OWN_SOURCE
+        self.metrics.availability.labels(change.state, "answer" if is_own else "host").inc()
+        self.log.record(
+            "availability",
+            outcome=change.state,
+            endpoint=change.endpoint,
+            address=change.address,
+            boot_id=change.boot_id,
+            source=change.source,
+            age_s=round(change.age_s, 3),
+        )
+        now = time.monotonic()
+        self._scheduler.tell(lambda scheduler: scheduler.dispatch_waiting(now))
+        if is_own:
+            # The holder starts another copy of what the endpoint has.
+            self.holder_link.request_exchange()
+
     def _render_metrics(self) -> bytes:
         self.metrics.in_progress.set(self.state.in_progress)
         return self.metrics.render()
--- a/catkinhook/operations/hostmetrics.py
+++ b/catkinhook/operations/hostmetrics.py
@@ -27,6 +27,12 @@
             ("why",),
             **common,
         )
+        self.availability = Counter(
+            "endpoint_availability_changes",
+            "Endpoints that said that they leave, by what told this host.",
+            ("state", "source"),
+            **common,
+        )
         self.duration = Histogram(
             "request_seconds",
             "Time to the end of the answer.",
--- a/catkinhook/platform/assembly.py
+++ b/catkinhook/platform/assembly.py
@@ -16,6 +16,7 @@
 from catkinhook.platform.records import decode_configuration, decode_endpoint
 from catkinhook.platform.storeclient import StoreClient, TableFeed, TableRow
 from catkinhook.requests.attempts import ConnectionPool
+from catkinhook.requests.endpointavailability import EndpointAvailability
 from catkinhook.requests.forwarding import Forwarder
 from catkinhook.requests.routetable import RouteTable
 
@@ -28,9 +29,12 @@
         get_route_table: Callable[[], RouteTable | None],
         forwarder: Forwarder,
         connections: ConnectionPool,
+        availability: EndpointAvailability,
         state: HostState,
     ) -> FrontApplication:
-        return FrontApplication(get_route_table, forwarder, connections, state, random.Random())
+        return FrontApplication(
+            get_route_table, forwarder, connections, availability, state, random.Random()
+        )
 
     return Platform(
         configuration_feed=TableFeed(store, protocolnames.CONFIG_TABLE),
--- a/catkinhook/platform/front.py
+++ b/catkinhook/platform/front.py
@@ -17,6 +17,7 @@
 from catkinhook.platform.upstream import RequestUpstream
 from catkinhook.requests.attempts import ConnectionPool
 from catkinhook.requests.endpointactivity import EndpointActivity
+from catkinhook.requests.endpointavailability import EndpointAvailability
 from catkinhook.requests.forwarding import CallerDisconnectedError, Forwarder, Reply
 from catkinhook.requests.quarantinecontrol import QuarantineControl
 from catkinhook.requests.routedrequest import DEFAULT_OUTPUT_TOKENS, RoutedRequest
@@ -52,6 +53,7 @@
 
     :param get_route_table: returns the configuration in force, None before the first one.
     :param connections: connections to endpoints.
+    :param availability: records what endpoints say about further requests.
     """
 
     def __init__(
@@ -59,12 +61,14 @@
         get_route_table: Callable[[], RouteTable | None],
         forwarder: Forwarder,
         connections: ConnectionPool,
+        availability: EndpointAvailability,
         state: HostState,
         rng: random.Random,
     ) -> None:
         self._get_route_table = get_route_table
         self._forwarder = forwarder
         self._connections = connections
+        self._availability = availability
         self._state = state
         self._rng = rng
         self._activity = EndpointActivity()
@@ -120,6 +124,7 @@
         upstream = RequestUpstream(
             self._connections,
             self._activity,
+            self._availability,
             request_id,
             inbound.method,
             inbound.target,
--- a/catkinhook/platform/protocolnames.py
+++ b/catkinhook/platform/protocolnames.py
@@ -17,6 +17,8 @@
 PROMPT_PARTS = "Prompt-Prefix"
 PRIORITY = "Request-Priority"
 RETRY_AFTER = "Retry-After"
+# "1" in all answers of an endpoint that is about to stop.
+LEAVING = "Server-Leaving"
 
 # Headers that control engines; they are removed from callers' requests.
 RESERVED_HEADERS = frozenset(
--- a/catkinhook/platform/upstream.py
+++ b/catkinhook/platform/upstream.py
@@ -13,6 +13,8 @@
 from catkinhook.platform import protocolnames
 from catkinhook.requests.attempts import (
     CONNECTION_ERRORS,
+    DOWN_FAULT,
+    UNAVAILABLE_FAULT,
     AttemptError,
     AttemptLimits,
     ConnectionPool,
@@ -20,6 +22,7 @@
 )
 from catkinhook.requests.chunkdecoder import ChunkDecoder, ChunkError, ExtraBytesError
 from catkinhook.requests.endpointactivity import EndpointActivity, read_until_silent
+from catkinhook.requests.endpointavailability import OWN_SOURCE, EndpointAvailability
 from catkinhook.requests.outcomes import Outcome
 from catkinhook.requests.routedrequest import Assignment
 from catkinhook.texts import parse_count
@@ -75,6 +78,7 @@
         self,
         connections: ConnectionPool,
         activity: EndpointActivity,
+        availability: EndpointAvailability,
         request_id: str,
         method: str,
         target: str,
@@ -84,6 +88,7 @@
     ) -> None:
         self._connections = connections
         self._activity = activity
+        self._availability = availability
         self._request_id = request_id
         self._method = method
         self._target = target
@@ -117,7 +122,9 @@
             headers.append((protocolnames.LAST_EVENT_ID, str(last_event)))
         if self._body or self._method in ("POST", "PUT", "PATCH"):
             headers.append(("Content-Length", str(len(self._body))))
-        answer = EndpointAnswer(self._connections, self._activity, assignment, self._request_id)
+        answer = EndpointAnswer(
+            self._connections, self._activity, self._availability, assignment, self._request_id
+        )
         self._answer = answer
         if self._is_aborted:
             answer.abort()
@@ -169,11 +176,13 @@
         self,
         connections: ConnectionPool,
         activity: EndpointActivity,
+        availability: EndpointAvailability,
         assignment: Assignment,
         request_id: str,
     ) -> None:
         self._connections = connections
         self._activity = activity
+        self._availability = availability
         self._endpoint = assignment.endpoint
         self._request_id = request_id
         self._connection: CountingConnection | None = None
@@ -209,16 +218,18 @@
         """
         self.is_to_head = method == "HEAD"
         limits = AttemptLimits(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s, 0)
+        self._check_available()
         try:
             connection = self._connections.acquire(self._endpoint.address, limits, fresh)
         except CONNECTION_ERRORS as error:
             is_refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
             outcome = Outcome.CRASHED if is_refused else Outcome.NOT_RUN
             reason = f"can't be reached: {error}"
-            raise self._error(reason, Ran.NO, outcome, fault="down") from error
+            raise self._error(reason, Ran.NO, outcome, fault=DOWN_FAULT) from error
         self._connection = connection
         if self._is_aborted:
             raise self._error("was not asked, the caller left", Ran.NO, Outcome.CANCELLED)
+        self._check_available()
         try:
             if self.probes_peer:
                 connection.probe_peer()
@@ -237,6 +248,16 @@
             raise self._error(f"gave no answer: {error!r}", ran, outcome) from error
         self._process_head()
 
+    def _check_available(self) -> None:
+        """Raise an error if the endpoint has asked for no more requests since the assignment.
+
+        A reserved place may be a second old when it is used, and a connection takes up to
+        ``CONNECT_TIMEOUT_S`` to open.
+        """
+        if not self._availability.is_available(self._endpoint):
+            reason = "asked for no more requests before this one was sent"
+            raise self._error(reason, Ran.NO, Outcome.NOT_RUN, fault=UNAVAILABLE_FAULT)
+
     def _check_crash(self) -> Outcome:
         """Return the outcome after a kept connection ended instead of an answer.
 
@@ -264,6 +285,8 @@
         response = self._response
         get = response.headers.get
         self.status = response.status
+        # Before all checks: the answer may fail one and still say that the endpoint leaves.
+        self._record_availability()
         self._check_request_id()
         self.load = _parse_load(get(protocolnames.LOAD, ""))
         if self.status == _MISDIRECTED:
@@ -289,6 +312,15 @@
         )
         self._begin_body()
 
+    def _record_availability(self) -> None:
+        headers, endpoint = self._response.headers, self._endpoint
+        if headers.get(protocolnames.INSTANCE, endpoint.endpoint) != endpoint.endpoint:
+            # Another instance at an address that is used again.
+            return
+        now = time.monotonic()
+        if "1" in {value.strip() for value in headers.get_all(protocolnames.LEAVING, ())}:
+            self._availability.record_leaving(endpoint, OWN_SOURCE, now, now)
+
     def _check_request_id(self) -> None:
         """Raise an error unless the answer belongs to this request.
 
--- a/catkinhook/requests/attempts.py
+++ b/catkinhook/requests/attempts.py
@@ -47,6 +47,10 @@
 # Errors of connections that are used without urllib3's pool, which would wrap those of http.client.
 CONNECTION_ERRORS = (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException)
 
+# Faults of attempts whose endpoint got no byte of the request.
+DOWN_FAULT = "down"
+UNAVAILABLE_FAULT = "unavailable"
+
 _BODILESS_STATUS = frozenset({204, 304})
 
 
--- a/catkinhook/requests/forwarding.py
+++ b/catkinhook/requests/forwarding.py
@@ -13,7 +13,7 @@
 from catkinhook.errors import Ran, Refusal
 from catkinhook.operations.decisionlog import DecisionLog
 from catkinhook.operations.hostmetrics import HostMetrics
-from catkinhook.requests.attempts import AttemptError
+from catkinhook.requests.attempts import DOWN_FAULT, UNAVAILABLE_FAULT, AttemptError
 from catkinhook.requests.disconnectmonitor import DisconnectMonitor
 from catkinhook.requests.eventsplitter import EventError, EventOrderChecker, EventSplitter
 from catkinhook.requests.hostscheduler import PendingRequest, Scheduler
@@ -47,6 +47,8 @@
 # Largest answer that is buffered before it is sent, which bounds the memory of a request.
 MAX_ANSWER_BYTES = 8 * MIB
 EVENT_STREAM = "text/event-stream"
+# Faults of attempts that sent nothing, so that the next attempt is not a retry at an endpoint.
+UNREACHED_FAULTS = frozenset({DOWN_FAULT, UNAVAILABLE_FAULT})
 # Fault of an answer whose events are incomplete or out of order.
 SEQUENCE_FAULT = "sequence"
 
@@ -295,7 +297,7 @@
         with self._lock:
             self._job_by_attempt.pop(assignment.attempt, None)
         now = time.monotonic()
-        is_absent, is_down = fault == "absent", fault == "down"
+        is_absent, is_down = fault == "absent", fault == DOWN_FAULT
         self._scheduler.tell(
             lambda scheduler: scheduler.finish(assignment.attempt, outcome, now, is_absent, is_down)
         )
@@ -779,7 +781,7 @@
         if self._is_disconnected:
             self._forwarder.finish(assignment, Outcome.CANCELLED)
             raise CallerDisconnectedError("the caller disconnected") from error
-        if error.ran is not Ran.NO or error.fault != "down":
+        if error.ran is not Ran.NO or error.fault not in UNREACHED_FAULTS:
             self.has_reached_endpoint = True
         if error.ran is not Ran.NO:
             self.ran = Ran.UNKNOWN
--- a/catkinhook/requests/hostscheduler.py
+++ b/catkinhook/requests/hostscheduler.py
@@ -14,6 +14,7 @@
 from catkinhook.hostsettings import Bounds
 from catkinhook.requests import endpointselection, retries
 from catkinhook.requests.demand import ItemDemand
+from catkinhook.requests.endpointavailability import EndpointAvailability
 from catkinhook.requests.endpointindex import EndpointIndex
 from catkinhook.requests.estimates import DecayingMean, Estimates
 from catkinhook.requests.outcomes import Outcome
@@ -48,6 +49,9 @@
 DOWN_TTL_S = 0.8
 RETRY_AFTER_MIN_S = 0.2
 RETRY_AFTER_MAX_S = 10.0
+# Time within which the holder tells of another copy after the last endpoint of an item said that it
+# leaves.
+LEAVING_RETRY_AFTER_S = 1.0
 # Relative jitter of Retry-After, so that callers refused together don't retry together.
 RETRY_AFTER_JITTER_RATIO = 0.25
 # Smoothing factor of the interval between completions, which predicts queueing times.
@@ -125,6 +129,7 @@
     :param on_quarantine: called with a quarantine of prompt parts that changed, what happened and
         the time.
     :param may_probe: returns whether this host may send a request with a quarantined part now.
+    :param availability: endpoints that must get no requests.
     :ivar host_count: number of hosts that share the retry budget.
     :ivar suspects: events about requests that may crash endpoints, exchanged between hosts.
     :ivar parts: quarantine of prompt parts that crash engines, exchanged between hosts.
@@ -139,6 +144,7 @@
         started_at: float = float("-inf"),
         on_quarantine: Callable[[Quarantine, str, float], None] = lambda *change: None,
         may_probe: Callable[[], bool] = lambda: False,
+        availability: EndpointAvailability | None = None,
     ) -> None:
         self._zone = zone
         self._bounds = bounds
@@ -161,6 +167,7 @@
         self._events_by_route: dict[str, DecayingMean] = {}
         self._prefixes = PrefixIndex()
         self._ejections = retries.Ejections()
+        self._availability = availability or EndpointAvailability()
         self._next_attempt = 1
         self._is_stopping = False
         self._started_at = started_at
@@ -351,7 +358,7 @@
         state = self._attempt_by_number.get(attempt)
         if state is None or state.first_event_at is not None:
             return
-        if self._is_leaving(state.endpoint):
+        if self._is_leaving(state):
             return
         # The entry may already be that of the next start.
         crash_id = (state.endpoint, state.boot_id)
@@ -395,7 +402,7 @@
             self._ejections.record_failure(endpoint, outcome is Outcome.CRASHED, now)
         # A refused connection carried no request, so the request can't have crashed the endpoint.
         is_crash = outcome is Outcome.CRASHED and state.first_event_at is None and not is_down
-        if is_crash and not self._is_leaving(endpoint):
+        if is_crash and not self._is_leaving(state):
             self.suspects.record(
                 EventKind.CRASH, request.fingerprint, request.model, now, endpoint, state.boot_id
             )
@@ -514,8 +521,12 @@
         )
 
     def _find_reachable(self, service: str, item: str, now: float) -> list[str]:
-        found = self._index.find(service, item)
-        return [endpoint for endpoint in found if self._down_until.get(endpoint, 0.0) <= now]
+        return [
+            endpoint
+            for endpoint in self._index.find(service, item)
+            if self._down_until.get(endpoint, 0.0) <= now
+            and self._availability.is_available(self._endpoint_by_id[endpoint])
+        ]
 
     def _has_capacity(self, view: EndpointView, request: RoutedRequest) -> bool:
         load = self._load(view.endpoint).current()
@@ -534,9 +545,14 @@
         used = own_tokens + other_requests * mean_reserved
         return used == 0 or used + reserved <= MAX_CACHE_SHARE * spec.engine.cache_tokens
 
-    def _is_leaving(self, endpoint: str) -> bool:
-        view = self._endpoint_by_id.get(endpoint)
-        return view is None or view.leaving
+    def _is_leaving(self, state: _Attempt) -> bool:
+        """Return whether the endpoint of an attempt was removed or is leaving."""
+        view = self._endpoint_by_id.get(state.endpoint)
+        return (
+            view is None
+            or view.leaving
+            or self._availability.is_leaving(state.endpoint, state.boot_id)
+        )
 
     def _own_requests(self, view: EndpointView) -> int:
         return self._load(view.endpoint).own_requests
@@ -603,9 +619,11 @@
     ) -> Refusal | None:
         request = pending.request
         latest_start = request.caller_deadline() - START_MARGIN_S
-        ready_at = self._predict_start(pending, queued_ahead, now)
+        next_at = self._find_next_return(request, now)
+        ready_at = self._predict_start(pending, queued_ahead, now) if next_at is None else next_at
         if (
-            not self._is_stopping
+            next_at is None
+            and not self._is_stopping
             and ready_at <= latest_start
             and len(self._queue) <= MAX_QUEUE_LENGTH
         ):
@@ -622,6 +640,17 @@
         status = _refusal_status(pending.ran)
         return Refusal(STEP, "", reason, "no-capacity", status, pending.ran, retry_after_s)
 
+    def _find_next_return(self, request: RoutedRequest, now: float) -> float | None:
+        """Return when an item may be available again, None unless all its endpoints are leaving.
+
+        A request then waits only for another copy that the holder has announced.
+        """
+        key = (request.service, request.item)
+        views = [self._endpoint_by_id[endpoint] for endpoint in self._index.find(*key)]
+        if not views or any(self._availability.is_available(view) for view in views):
+            return None
+        return None if key in self._forecast_by_item else now + LEAVING_RETRY_AFTER_S
+
     def _predict_start(self, pending: PendingRequest, queued_ahead: int, now: float) -> float:
         """Return the predicted start of a queued request."""
         request = pending.request
@@ -642,9 +671,13 @@
         key = (request.service, request.item)
         if self._find_reachable(*key, now):
             return self._explain_full(request, now)
-        is_expected = key in self._forecast_by_item
         name = repr(request.item or request.service)
-        reason = f"{name} is not available yet" if is_expected else f"no endpoint has {name}"
+        if self._find_next_return(request, now) is not None:
+            reason = f"all endpoints of {name} are leaving"
+        elif key in self._forecast_by_item:
+            reason = f"{name} is not available yet"
+        else:
+            reason = f"no endpoint has {name}"
         return f"{reason}; {self._explain_forecast_age(now)}"
 
     def _explain_forecast_age(self, now: float) -> str:
