Ask sooner for an item whose wait the holder does not know, and for the readers

Cause: the holder plans after it has answered the first report of a missing item, so that answer has no estimate, and the host asked again after 0.11 s: the mode of the waits for adapters in play (p75 0.116 s, p90 0.133 s), while a load takes 20 ms. And hosts that start read the store a second time, as they heard of the readers at their next exchange, 2 s later.

A host that has not heard of the readers exchanges again after 1.2 s.

--- a/catkinhook/peering/exchangepacing.py
+++ b/catkinhook/peering/exchangepacing.py
@@ -12,7 +12,9 @@
 # Minimum time between two exchanges of a host, and the wait that is assumed for a missing item
 # while the holder has no estimate.
 MIN_EXCHANGE_INTERVAL_S = 0.01
-DEFAULT_WAIT_S = 0.1
+DEFAULT_WAIT_S = 0.03
+# Exchanges a second of all hosts that the holder can answer.
+MAX_EXCHANGE_RATE = 250.0
 # Added to the mean time between exchanges for each host beyond ``BASELINE_HOSTS``.
 INTERVAL_PER_HOST_S = 0.005
 # Exchanges that a host may make at ``MIN_EXCHANGE_INTERVAL_S`` after a time of rest: one reports
@@ -22,7 +24,8 @@
 
 def min_exchange_interval(hosts: int) -> float:
     """Return the minimum mean time in seconds between the exchanges of a host."""
-    return MIN_EXCHANGE_INTERVAL_S + INTERVAL_PER_HOST_S * max(0, hosts - BASELINE_HOSTS)
+    by_size = MIN_EXCHANGE_INTERVAL_S + INTERVAL_PER_HOST_S * max(0, hosts - BASELINE_HOSTS)
+    return max(by_size, hosts / MAX_EXCHANGE_RATE)
 
 
 def choose_exchange_interval(
--- a/catkinhook/peering/holderlink.py
+++ b/catkinhook/peering/holderlink.py
@@ -12,6 +12,7 @@
 from catkinhook.control.ordercoordinator import (
     EXCHANGE_INTERVAL_S,
     MAX_MISSED_EXCHANGES,
+    READERS_SETTLE_S,
     SETTLE_INTERVALS,
     OrderCoordinator,
     exchange_interval,
@@ -48,6 +49,8 @@
 HOLDER_TIMEOUT_S = 1.0
 # Time for which holdings in the holder's last view override the engines' entries in the store.
 VIEW_TTL_S = 3.0
+# Maximum seconds between exchanges of a host that has not heard of the readers of the store yet.
+READERS_RETRY_S = READERS_SETTLE_S + 0.2
 # Maximum age of suspect events that are resent, or ``RESENDING_EXCHANGES`` exchange intervals if
 # longer; after a change of holder, all are sent.
 SUSPECT_RESEND_S = 1.5
@@ -142,6 +145,7 @@
         # Revision of the list of addresses.
         self._known_members = -1
         self._members_fence = -1
+        self._knows_readers = False
         self._pacer = ExchangePacer()
         self.is_stopping = False
         self._evidence_push = EvidencePush(
@@ -321,6 +325,7 @@
             self._known_members, self._members_fence = view.members, view.fence
             self._host_count = max(view.host_count, len(view.addresses))
             if view.readers is not None:
+                self._knows_readers = True
                 self._set_readers(view.readers)
             self._lease.confirm(view.lease_version, view.fence)
             self._merge_suspects(view.suspects)
@@ -347,7 +352,11 @@
 
         Only hosts that follow the store can replace a lost holder, so they notice the loss early.
         """
-        return EXCHANGE_INTERVAL_S if self._is_reader() else exchange_interval(self._host_count)
+        if self._is_reader():
+            return EXCHANGE_INTERVAL_S
+        interval = exchange_interval(self._host_count)
+        # At the start of a deployment, each host reads the store until it knows the readers.
+        return interval if self._knows_readers else min(interval, READERS_RETRY_S)
 
     def _exchange_with_holder(self) -> HolderView | None:
         if self._lease.is_held():
