Keep the pauses between calls to a store that is away on a host that others follow

Cause: a host that followers had asked, but that did not know itself as a reader, closed the gate at each failed call and opened it again at its next step, which ended the pause of 0.3 s: it called the store without a pause.

Change: only hosts that no one follows go back to the readers after a failed call. The test failed before.

--- a/catkinhook/peering/sharedstate.py
+++ b/catkinhook/peering/sharedstate.py
@@ -261,10 +261,11 @@
         return self._selector.is_listed
 
     def _record_store_failure(self) -> None:
+        now = time.monotonic()
         with self._lock:
-            if self._selector.is_reader or self._is_holder():
+            if self._selector.is_reader or self._serves_others(now):
                 return
-            self._selector.record_store_failure(time.monotonic())
+            self._selector.record_store_failure(now)
         self._gate.close()
         self._wake.set()
 
@@ -286,7 +287,7 @@
         :returns: seconds until the next step.
         """
         now = time.monotonic()
-        is_needed = self._is_holder() or now - self._source.asked_at < ASKED_TTL_S
+        is_needed = self._serves_others(now)
         known_version = self._endpoints.version
         with self._lock:
             address = "" if is_needed else self._selector.next_source(now)
@@ -318,6 +319,10 @@
             self._followed = ""
         return pause_s
 
+    def _serves_others(self, now: float) -> bool:
+        """Whether other hosts need this one to follow the store."""
+        return self._is_holder() or now - self._source.asked_at < ASKED_TTL_S
+
     def _check_age(self, state: SharedState) -> Result[SharedState, str]:
         if state.age_s > self._max_age_s:
             return Err(f"knows the store's state of {state.age_s:.1f} s ago")
--- a/tests/test_sharedstate.py
+++ b/tests/test_sharedstate.py
@@ -439,6 +439,20 @@
         self.follower.step()
         self.assertTrue(self.part.gate.is_open)
 
+    def test_asked_host_without_the_store_keeps_its_pauses(self) -> None:
+        """Guards against calls to a store that is away without a pause between them.
+
+        The gate closed at each failure and opened again at once, which ended the pause.
+        """
+        ask(self.part, known=self.part.endpoints.version - 1, wait_s=0.01)
+        self.follower.step()
+        self.part.feed.answers.append(None)
+        self.part.endpoints._wake.clear()
+        self.part.endpoints._poll()
+        self.follower.step()
+        self.assertTrue(self.part.gate.is_open)
+        self.assertFalse(self.part.endpoints._wake.is_set())
+
     def test_entries_are_read_anew_after_a_time_with_a_reader(self) -> None:
         """Guards against endpoints that stay, as their removal is no longer in the history."""
         self.part.read_entries(10, i_a="ready", i_z="ready")
