Close a server's trigger only after the byte that wakes its loop is written

Cause: the loop of a waitress server may run the queued close, and so close the trigger's pipe, before the thread that asked for it writes its byte.

Change: the function that closes waits until the byte is written.

--- a/catkinhook/operations/admin.py
+++ b/catkinhook/operations/admin.py
@@ -25,6 +25,7 @@
     StoreError,
     render_problem,
 )
+from catkinhook.eventloop import run_after_wake
 from catkinhook.operations.burn import build_report
 from catkinhook.operations.burnpage import render_json
 from catkinhook.operations.metrics import CONTENT_TYPE
@@ -332,7 +333,7 @@
         """Stop serving and close all connections."""
         if self._server is None:
             return
-        self._server.trigger.pull_trigger(self._close_channels)
+        run_after_wake(self._server, self._close_channels)
         self._thread.join(CLOSE_TIMEOUT_S)
         self._server.task_dispatcher.shutdown(timeout=CLOSE_TIMEOUT_S)
 
--- a/catkinhook/wsgiserver.py
+++ b/catkinhook/wsgiserver.py
@@ -1,6 +1,5 @@
 """waitress server that survives errors in its event loop, closes idle connections and drains."""
 
-import contextlib
 import threading
 import time
 from collections.abc import Callable
@@ -10,6 +9,7 @@
 
 from catkinhook.callerresets import CallerReset
 from catkinhook.channel import AnsweredRequest, Channel
+from catkinhook.eventloop import run_after_wake
 from catkinhook.requests.memorybudget import MemoryBudget
 from catkinhook.unanswered import UnansweredRequest
 
@@ -18,13 +18,8 @@
 
 
 def close_sockets(server: TcpWSGIServer, sockets: dict) -> None:
-    """Close all sockets of a server's event loop from the loop's own thread, which ends the loop.
-
-    The loop may run the function, and so close the trigger's pipe, before this call writes to the
-    pipe; that ``OSError`` is ignored.
-    """
-    with contextlib.suppress(OSError):
-        server.trigger.pull_trigger(lambda: wasyncore.close_all(sockets))
+    """Close all sockets of a server's event loop from the loop's thread, which ends the loop."""
+    run_after_wake(server, lambda: wasyncore.close_all(sockets))
 
 
 def _ignore(report: UnansweredRequest | CallerReset) -> None:
