Don't take the pause at a host's start for an outage of the store

Cause: a host that has just started pauses up to 2.5 s between its first two calls to the store. With a long poll behind it, more than 3.5 s passed without a call, which counted as an outage. Entries that were removed then stayed in use for 2.5 s more, as after a real outage: up to 2.5 s too late for an endpoint that leaves by the removal of its entry.

Change: the time counts from the planned end of a pause. The test failed before.

--- a/catkinhook/state/storewatches.py
+++ b/catkinhook/state/storewatches.py
@@ -111,6 +111,8 @@
         self._stop = threading.Event()
         self._is_unreachable = False
         self._last_contact = time.monotonic()
+        # Planned time of the next call to the store.
+        self._next_poll_at = float("-inf")
         self._recovered_at = float("-inf")
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
@@ -155,6 +157,7 @@
                 # must not end the thread, which alone follows the feed.
                 self._log.record("feed", outcome=f"failed: {error!r}", feed=self._name)
                 pause_s = RETRY_INTERVAL_S
+            self._next_poll_at = time.monotonic() + pause_s
             if self._wake.wait(pause_s):
                 self._wake.clear()
 
@@ -182,7 +185,9 @@
 
     def _record_contact(self) -> None:
         now = time.monotonic()
-        if self._is_unreachable or now - self._last_contact > OUTAGE_THRESHOLD_S + MAX_WAIT_S:
+        # A pause that was planned is no outage. A host that was suspended in it exceeds it.
+        silent_s = now - max(self._last_contact, self._next_poll_at)
+        if self._is_unreachable or silent_s > OUTAGE_THRESHOLD_S + MAX_WAIT_S:
             self._recovered_at = now
             away_s = round(now - self._last_contact, 3)
             self._log.record("dependency", outcome="regained", name=self._name, away_s=away_s)
--- a/tests/test_sharedstate.py
+++ b/tests/test_sharedstate.py
@@ -228,6 +228,59 @@
         self.assertFalse(part.endpoints.is_loaded)
 
 
+class StartPauseTest(unittest.TestCase):
+    """Calls to the store right after the start of a process."""
+
+    def setUp(self) -> None:
+        self.part = StatePart()
+        self.watch = self.part.endpoints
+        self.watch._gate = StoreGate(start_pause_s=2.5)
+        self.pauses: list[float] = []
+        self.clock = mock.patch("catkinhook.state.storewatches.time", monotonic=lambda: self.now)
+        self.now = time.monotonic()
+
+    def run_polls(self, count: int) -> None:
+        """Run the loop of the watch in virtual time, with calls that take as long as they may."""
+        read = self.part.feed.read_changes
+
+        def read_late(after: int | None, wait_s: float) -> Result[TableChanges, StoreError]:
+            self.now += wait_s if after else 0.0
+            return read(after, wait_s)
+
+        def wait(seconds: float) -> bool:
+            self.pauses.append(seconds)
+            self.now += seconds
+            if len(self.pauses) >= count:
+                self.watch._stop.set()
+            return False
+
+        self.watch._wake = mock.Mock(wait=wait)
+        self.part.feed.read_changes = read_late
+        with self.clock:
+            self.watch._gate._start_pause_ends = self.now + 2.5
+            self.watch._run()
+
+    def test_pause_at_the_start_is_no_outage(self) -> None:
+        """Guards against endpoints that are kept after their removal, as after an outage.
+
+        In the incident inc-f907, hosts logged that the store was back 3.5 s after each start.
+        """
+        entry = {"i-a": make_entry("i-a"), "i-b": make_entry("i-b")}
+        self.part.feed.answers = [
+            TableChanges(10, entry, is_full=True),
+            TableChanges(11, {}, removed=frozenset(("i-a",))),
+        ]
+        self.watch.max_wait_s = 1.9
+        self.run_polls(2)
+        self.assertEqual(set(self.part.leaving_by_id()), {"i-b"})
+
+    def test_host_without_state_makes_no_pause(self) -> None:
+        """Guards against a host that waits at its start while it knows no endpoint."""
+        self.part.feed.answers = [None, TableChanges(10, {}, is_full=True)]
+        self.run_polls(2)
+        self.assertLess(self.pauses[0], 1.0)
+
+
 class StateSourceTest(unittest.TestCase):
     """Answers of a reader."""
 
