Count suspended time in the age of shared state, and follow a reader only once it has caught up

Causes: a reader that was suspended took its state for as new as before, because the steady clock stands still meanwhile. And a host whose new reader was behind it dropped that reader's entries, but then asked it for changes only, so that an endpoint which only the earlier reader still kept could stay for ever.

Change: the age is taken from the clock that counts suspended time; a reader that is behind is asked for all its entries until it has caught up. A test for each.

--- a/catkinhook/clocks.py
+++ b/catkinhook/clocks.py
@@ -7,3 +7,8 @@
 Clock = Callable[[], float]
 
 monotonic: Clock = time.monotonic
+
+
+def boot_clock() -> float:
+    """Return seconds on a clock that also advances while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/catkinhook/host.py
+++ b/catkinhook/host.py
@@ -17,6 +17,7 @@
 from catkinhook.addresses import split_address
 from catkinhook.allocator import limit_kept_memory
 from catkinhook.callerresets import IDLE, CallerReset
+from catkinhook.clocks import boot_clock
 from catkinhook.control.ordercoordinator import OrderCoordinator
 from catkinhook.control.orderlease import OrderLease
 from catkinhook.control.orderleasemanager import LeaseManager
@@ -140,11 +141,6 @@
     store_calls: Callable[[], dict[str, int]] = dict
 
 
-def boot_clock() -> float:
-    """Return seconds on a clock that also advances while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class WebListener:
     """Service that runs a waitress server in a thread.
 
--- a/catkinhook/peering/sharedstate.py
+++ b/catkinhook/peering/sharedstate.py
@@ -306,19 +306,19 @@
         with self._lock:
             if result.is_ok():
                 self._selector.record_success()
-                pause_s = (
-                    0.0 if result.unwrap().entries.version >= known_version else BEHIND_PAUSE_S
-                )
             else:
                 pause_s = self._selector.record_failure(now)
                 self._reason = f"{address}: {result.unwrap_err()}"
-        if result.is_ok():
-            self._follow(address)
-        else:
+        if result.is_err():
             outcome = "lost" if self._followed else "unusable"
             self._log.record("source", outcome=outcome, reader=address, reason=self._reason)
             self._followed = ""
-        return pause_s
+            return pause_s
+        if result.unwrap().entries.version < known_version:
+            # Its entries were not applied. It will have read the same version soon.
+            return BEHIND_PAUSE_S
+        self._follow(address)
+        return 0.0
 
     def _serves_others(self, now: float) -> bool:
         """Whether other hosts need this one to follow the store."""
--- a/catkinhook/state/storewatches.py
+++ b/catkinhook/state/storewatches.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from catkinhook.clocks import boot_clock
 from catkinhook.errors import StoreError
 from catkinhook.operations.decisionlog import DecisionLog
 from catkinhook.requests.routetable import RouteTable
@@ -113,6 +114,8 @@
         self._stop = threading.Event()
         self._is_unreachable = False
         self._last_contact = time.monotonic()
+        # On the clock that counts the time in which the host is suspended.
+        self._state_read_at = boot_clock()
         # Planned time of the next call to the store.
         self._next_poll_at = float("-inf")
         self._recovered_at = float("-inf")
@@ -137,7 +140,7 @@
 
     def seconds_since_contact(self) -> float:
         """Return the age of what this host knows, by itself or from another host."""
-        return time.monotonic() - self._last_contact
+        return boot_clock() - self._state_read_at
 
     def record_relayed_contact(self, age_s: float) -> None:
         """Record that another host's state has been applied.
@@ -145,6 +148,7 @@
         :param age_s: seconds since that host read its state from the store.
         """
         self._last_contact = max(self._last_contact, time.monotonic() - age_s)
+        self._state_read_at = max(self._state_read_at, boot_clock() - age_s)
 
     def _run(self) -> None:
         while not self._stop.is_set():
@@ -198,6 +202,7 @@
             self._log.record("dependency", outcome="regained", name=self._name, away_s=away_s)
         self._is_unreachable = False
         self._last_contact = now
+        self._state_read_at = boot_clock()
 
     @property
     def is_loaded(self) -> bool:
--- a/tests/test_sharedstate.py
+++ b/tests/test_sharedstate.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok, Result
 
+from catkinhook.clocks import boot_clock
 from catkinhook.control.ordercoordinator import (
     MAX_EXCHANGE_INTERVAL_S,
     READERS_SETTLE_S,
@@ -304,6 +305,13 @@
     def setUp(self) -> None:
         self.part = StatePart()
 
+    def test_suspended_time_counts_for_the_age(self) -> None:
+        """Guards against a reader that was suspended for seconds and takes its state for new."""
+        self.part.read_entries(10, i_a="ready")
+        woken_at = boot_clock() + 7.0
+        with mock.patch("catkinhook.state.storewatches.boot_clock", lambda: woken_at):
+            self.assertGreater(ask(self.part).age_s, 6.9)
+
     def test_host_without_entries_says_so(self) -> None:
         """Guards against a starting reader whose followers drop all endpoints."""
         state = ask(self.part)
@@ -452,12 +460,26 @@
     def test_reader_that_lost_the_store_is_left(self) -> None:
         """Guards against hosts that follow a reader which the store turns away."""
         self.follower.step()
-        self.pool.part_by_address[self.first].endpoints._last_contact -= MAX_AGE_SHARE * DRAIN_S
+        self.pool.part_by_address[self.first].endpoints._state_read_at -= MAX_AGE_SHARE * DRAIN_S
         self.follower.step()
         self.follower.step()
         self.assertEqual(self.pool.calls[-1][0], self.second)
         self.assertFalse(self.part.gate.is_open)
 
+    def test_reader_that_is_behind_is_not_followed_yet(self) -> None:
+        """Guards against changes only of a reader whose whole entries were never applied.
+
+        The reader before may have kept an endpoint in its grace period that this one has removed.
+        """
+        self.pool.part_by_address[self.first].read_entries(20, i_a="ready", i_z="ready")
+        self.follower.step()
+        del self.pool.part_by_address[self.first]
+        self.follower.step()
+        self.assertGreater(self.follower.step(), 0.0)
+        self.pool.part_by_address[self.second].read_entries(21, i_a="ready")
+        self.follower.step()
+        self.assertEqual(self.part.leaving_by_id(), {"i-a": False})
+
     def test_reader_with_malformed_state_is_left(self) -> None:
         """Guards against one faulty process that harms all hosts that follow it."""
         broken = self.pool.part_by_address[self.first]
