--- a/catkinhook/control/ordercoordinator.py
+++ b/catkinhook/control/ordercoordinator.py
@@ -86,11 +86,14 @@
     def record_report(self, report: HostReport, now: float) -> None:
         self.provisioner.record_leaving((e.endpoint, e.boot_id) for e in report.leaving)
         previous = self.report_by_node.pop(report.node, None)
+        previous_address = previous[0].address if previous is not None else None
         if not report.stopping:
             self.report_by_node[report.node] = (report, now)
             self.provisioner.request_reports(report.down)
-        is_known = previous is not None and previous[0].address == report.address
-        self.members += is_known == report.stopping
+        # A host that is stopping is no member any more.
+        address = None if report.stopping else report.address
+        if address != previous_address:
+            self.members += 1
 
     def begin_term(self, readers: tuple[Reader, ...], now: float) -> None:
         """Forget the reports of an earlier term.
