--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -33,6 +34,9 @@
 # A replica with this many connections resets further ones.
 MAX_CONNECTIONS = 370
 HEAD_BYTES = 64 << 10
+# Range of the ports that are listened on.
+PORTS = (12000, 31000)
+_used_ports: set[int] = set()
 
 
 class Record:
@@ -63,10 +67,15 @@
 
 
 def find_port() -> int:
-    """Return a free port of the loopback interface."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a free port of the loopback interface, below those of outgoing connections."""
+    while True:
+        port = random.randint(*PORTS)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 class _Server(ThreadingHTTPServer):
@@ -114,7 +123,7 @@
 
             do_POST = do_GET  # noqa: N815
 
-        self._server = _Server(("127.0.0.1", 0), Handler)
+        self._server = _Server(("127.0.0.1", find_port()), Handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
