--- a/review/platform2.py
+++ b/review/platform2.py
@@ -86,6 +86,9 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Ignore connections that a killed process has left."""
+
 
 class Store:
     """Table store: rows, conditional writes and a change feed, as PROTOCOL.md describes them."""
