Case 6: show that a request in another client's text is run

Change: beside the lookups, another client sends long texts in which a request is quoted; the stand-in refuses lines that are no request, as a sound server does.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 """A replica refuses a long request early and reads on later; its connection is used again."""
 
+import re
 import socket
 import sys
 import threading
@@ -9,6 +10,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from platform2 import (  # noqa: E402
+    HOST_NAME,
     Host,
     Record,
     Store,
@@ -20,12 +22,19 @@
     send_request,
 )
 
-BODY_BYTES = 4_000_000
-LONG_BYTES = 1_000_000
+BODY_BYTES = 4_190_000
 READ_ON_AFTER_S = 1.8
-ROUNDS = 3
-LOOKUPS = 40
+ROUNDS = 4
+LOOKUPS = 30
 LOOKUP_GAP_S = 0.1
+# Imports in every second round: long texts that another client sends, which replicas take in full.
+IMPORTS = 3
+IMPORT_BYTES = 3_500_000
+FIRST_IMPORT_AFTER_S = 1.55
+IMPORT_GAP_S = 0.1
+
+
+REQUEST_LINE = re.compile(r"[A-Z]+ /\S* HTTP/1\.1")
 
 
 class Replica:
@@ -37,7 +46,7 @@
     def __init__(self, name: str, record: Record) -> None:
         self.name, self._record = name, record
         self.foreign: list[str] = []
-        self.run_ids: list[str] = []
+        self.run_ids: set[str] = set()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         # Accepted connections have this buffer too, a small window as on the platform's links.
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
@@ -54,21 +63,31 @@
         data = b""
         try:
             while True:
+                # Servers ignore empty lines before a request.
+                data = data.lstrip(b"\r\n")
                 while b"\r\n\r\n" not in data:
                     part = sock.recv(65536)
                     if not part:
                         return
-                    data += part
+                    data = (data + part).lstrip(b"\r\n")
                 head, _, data = data.partition(b"\r\n\r\n")
                 data = self._handle(sock, number, head.decode("latin-1"), data)
         except OSError as error:
             self._record.write(f"{self.name}: connection {number} ended: {error!r}")
+        finally:
+            sock.close()
 
     def _handle(self, sock: socket.socket, number: int, head: str, data: bytes) -> bytes:
         lines = head.split("\r\n")
         headers = {n.strip().lower(): v.strip() for n, _, v in (x.partition(":") for x in lines)}
         attempt, length = headers.get("attempt-id", ""), int(headers.get("content-length") or 0)
-        is_refused = length >= LONG_BYTES
+        if not REQUEST_LINE.fullmatch(lines[0]) or not attempt:
+            self._record.write(f"{self.name}: no request on connection {number}: {lines[0][:60]!r}")
+            sock.sendall(
+                b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+            raise ConnectionAbortedError("closed after 400")
+        is_refused = attempt.startswith("long")
         if is_refused:
             self._record.write(f"{self.name}: refuses {attempt} on connection {number} early")
             sock.sendall(
@@ -81,14 +100,16 @@
         body, data = data[:length], data[length:]
         size = len(body)
         while size < length:
-            self._check(attempt, number, body)
+            if is_refused:
+                self._check(attempt, number, body)
             body = sock.recv(min(65536, length - size))
             if not body:
                 raise ConnectionResetError("ended within a body")
             size += len(body)
-        self._check(attempt, number, body)
-        if not is_refused:
-            self.run_ids.append(attempt)
+        if is_refused:
+            self._check(attempt, number, body)
+        else:
+            self.run_ids.add(attempt)
             self._record.write(f"{self.name}: ran {attempt} on connection {number}: {lines[0]}")
             sock.sendall(
                 f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s-{self.name}\r\n"
@@ -101,14 +122,18 @@
         rest = part.strip(b"b")
         if rest:
             text = rest[:160].decode("latin-1")
+            if len(self.foreign) < 20:
+                self._record.write(
+                    f"{self.name}: in the body of {attempt} on connection {number} came {text!r}"
+                )
             self.foreign.append(text)
-            self._record.write(
-                f"{self.name}: in the body of {attempt} on connection {number} came {text!r}"
-            )
 
 
 def run(record: Record) -> bool:
-    """Return whether a replica got other bytes where the rest of a body was due."""
+    """Return whether a replica got other bytes where the rest of a body was due.
+
+    That is so too if it ran a request that no client sent.
+    """
     store = Store()
     replicas = [Replica(f"i-{number}", record) for number in (1, 2)]
     store.put(
@@ -123,40 +148,63 @@
         entry = make_entry("wuno96b", replica.address, 6, int(time.time() * 1000))
         store.put("servers", replica.name, entry)
     host = Host(store)
+    clients = Clients(host, record)
     try:
         host.wait_until_ready()
         time.sleep(1.0)
         for number in range(ROUNDS):
-            run_round(host, record, number)
+            clients.run_round(number)
     finally:
         host.close()
-    return any(replica.foreign for replica in replicas)
+    foreign = sum(len(replica.foreign) for replica in replicas)
+    unasked = set().union(*(replica.run_ids for replica in replicas)) - clients.sent
+    record.write(f"{foreign} reads of other bytes; run, though no client sent it: {unasked}")
+    return bool(foreign or unasked)
 
 
-def run_round(host: Host, record: Record, number: int) -> None:
-    """Send one long request, and lookups beside and after it."""
-    attempt = f"long-{number}"
-
-    def send_long() -> None:
-        answer = send_request(host.front, "POST", "/cufi504/x", attempt, 2.5, b"b" * BODY_BYTES)
-        record.write(f"client: {attempt} got {answer.status} {answer.error}")
-
-    long = threading.Thread(target=send_long)
-    long.start()
-    lookups = []
-    for index in range(LOOKUPS):
-        lookup = threading.Thread(target=look_up, args=(host, record, f"lookup-{number}-{index}"))
-        lookup.start()
-        lookups.append(lookup)
-        time.sleep(LOOKUP_GAP_S)
-    for thread in (long, *lookups):
-        thread.join()
+class Clients:
+    """Clients of an idempotent route.
 
+    :ivar sent: ids of all attempts.
+    """
 
-def look_up(host: Host, record: Record, attempt: str) -> None:
-    """Send a lookup without a body."""
-    answer = send_request(host.front, "GET", "/cufi504/y", attempt, 2.5)
-    record.write(f"client: {attempt} got {answer.status} {answer.error}")
+    def __init__(self, host: Host, record: Record) -> None:
+        self._host, self._record = host, record
+        self.sent: set[str] = set()
+
+    def run_round(self, number: int) -> None:
+        """Send one long request that is refused, and others beside and after it."""
+        threads = [self._start("POST", f"long-{number}", b"b" * BODY_BYTES)]
+        if number % 2:
+            time.sleep(FIRST_IMPORT_AFTER_S)
+            for index in range(IMPORTS):
+                threads.append(self._start("POST", f"import-{number}-{index}", make_text(number)))
+                time.sleep(IMPORT_GAP_S)
+        else:
+            for index in range(LOOKUPS):
+                threads.append(self._start("GET", f"lookup-{number}-{index}"))
+                time.sleep(LOOKUP_GAP_S)
+        for thread in threads:
+            thread.join()
+
+    def _start(self, method: str, attempt: str, body: bytes = b"") -> threading.Thread:
+        self.sent.add(attempt)
+        thread = threading.Thread(target=self._send, args=(method, attempt, body))
+        thread.start()
+        return thread
+
+    def _send(self, method: str, attempt: str, body: bytes) -> None:
+        answer = send_request(self._host.front, method, "/cufi504/x", attempt, 2.5, body)
+        self._record.write(f"client: {attempt} got {answer.status} {answer.error}")
+
+
+def make_text(number: int) -> bytes:
+    """Return a text of empty lines with one in which a client quotes a request."""
+    quoted = (
+        f"GET /cufi504/quoted HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: quoted-{number}\r\n"
+        "Deadline-Ms: 2000\r\n\r\n"
+    ).encode()
+    return b"\r\n" * ((IMPORT_BYTES - len(quoted)) // 2) + quoted
 
 
 if __name__ == "__main__":
