--- a/review/platform2.py
+++ b/review/platform2.py
@@ -49,7 +49,10 @@
     "ceiling_window_s": "5",
     "ceiling_overage": "1.1",
 }
+# A script may run for 120 s; before that, it ends all processes that it started.
+TIME_LIMIT_S = 113.0
 _used_ports: set[int] = set()
+_processes: list[subprocess.Popen] = []
 
 
 def is_troubled() -> bool:
@@ -339,6 +342,7 @@
             stderr=subprocess.STDOUT,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, max_fds)),
         )
+        _processes.append(self.process)
 
     def is_ready(self, timeout_s: float = 1.0) -> bool:
         """Ask the host on a new connection whether it is ready, as the platform does."""
@@ -469,20 +473,38 @@
     return Answer(status, headers, rest)
 
 
+def _end_processes() -> None:
+    for process in _processes:
+        if process.poll() is None:
+            process.kill()
+
+
 def run_case(folder: Path, body: Callable[[Record], bool]) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     :param body: returns whether the rule was broken.
     """
     record = Record(folder)
+
+    def give_up() -> None:
+        record.write("the case took too long")
+        _end_processes()
+        os._exit(2)
+
+    timer = threading.Timer(TIME_LIMIT_S, give_up)
+    timer.daemon = True
+    timer.start()
     try:
         is_broken = body(record)
     except CannotRunError as error:
         record.write(f"the case couldn't run: {error}")
+        _end_processes()
         os._exit(2)
     except Exception as error:
         record.write(f"the case couldn't run: {error!r}")
         sys.stderr.write(f"{error!r}\n")
+        _end_processes()
         os._exit(2)
+    _end_processes()
     record.write("the rule was broken" if is_broken else "the rule held")
     os._exit(1 if is_broken else 0)
