--- a/review/standins3.py
+++ b/review/standins3.py
@@ -117,6 +117,10 @@
             return
         self._server.close()
         self._server = None
+        self.abort_all()
+
+    def abort_all(self) -> None:
+        """Reset all connections."""
         for writer in list(self._writers):
             writer.transport.abort()
         for task in list(self._tasks):
@@ -207,10 +211,15 @@
         else:
             status, body = 404, {}
         data = json.dumps(body).encode()
-        writer.write(make_answer(status, {"Content-Type": "application/json"}, data))
+        headers = {"Content-Type": "application/json", **self.more_headers()}
+        writer.write(make_answer(status, headers, data))
         await writer.drain()
         return True
 
+    def more_headers(self) -> dict[str, str]:
+        """Return further headers of all answers."""
+        return {}
+
     def _list(self, fields: dict) -> dict:
         table, part = fields["table"], fields.get("part", "")
         low, high = fields.get("from", ""), fields.get("to")
@@ -335,11 +344,11 @@
 class Deployment:
     """Store and hosts; replicas and clients belong to the cases."""
 
-    def __init__(self, hosts: int, zones: int = 1) -> None:
+    def __init__(self, hosts: int, zones: int = 1, make_store: type[Store] = Store) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         folder = Path(self._folder.name)
         store_port, *ports = find_ports(1 + 3 * hosts)
-        self.store = Store(store_port)
+        self.store = make_store(store_port)
         names = [f"front-z{number % zones + 1}-{number + 1}" for number in range(hosts)]
         seeds = ",".join(f"127.0.0.1:{ports[3 * n + 2]}" for n in range(min(3, hosts)))
         self.hosts = [
